Lay out the modules, shared types and build

Cause: the project starts from nothing; every module needs one vocabulary and one build. Conclusion: a base on which modules can be filled side by side.

--- /dev/null
+++ b/hyssopswitch-app/src/main/java/org/hyssopswitch/app/package-info.java
@@ -0,0 +1,2 @@
+/** The hyssopswitch binary: VM process and demo. */
+package org.hyssopswitch.app;
--- /dev/null
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks, slopes and the capacity page. */
+package org.hyssopswitch.bench;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/AccountDeclaration.java
@@ -0,0 +1,22 @@
+package org.hyssopswitch.core.configuration;
+
+import java.util.List;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DatabaseId;
+
+/**
+ * A declared client account.
+ *
+ * @param id the client account
+ * @param rate its rate and burst over all VMs
+ * @param databases the databases it may use
+ * @param keys its keys that are in force
+ */
+public record AccountDeclaration(ClientAccountId id, Rate rate, List<DatabaseId> databases, List<KeyVerifier> keys) {
+
+    /** Copies the lists. */
+    public AccountDeclaration {
+        databases = List.copyOf(databases);
+        keys = List.copyOf(keys);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The declared configuration: teams, client accounts, keys, databases and routes. */
+package org.hyssopswitch.core.configuration;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The tick-driven engine that runs the decision systems of a VM. */
+package org.hyssopswitch.core.engine;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Failure detection and promotion of database groups. */
+package org.hyssopswitch.core.failover;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failure/package-info.java
@@ -0,0 +1,2 @@
+/** The failure family shared by all modules. */
+package org.hyssopswitch.core.failure;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/fairness/StatementQueue.java
@@ -0,0 +1,43 @@
+package org.hyssopswitch.core.fairness;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.core.identity.ClientAccountId;
+
+/**
+ * The bounded queue of statements that wait for a slot of one endpoint.
+ *
+ * @param <T> what is queued
+ */
+public interface StatementQueue<T> {
+
+    /**
+     * Adds a statement.
+     *
+     * @param account the client account that pays for it
+     * @param item the statement
+     * @param deadlineMillis time of the monotonic clock at which it is given up
+     * @param nowMillis milliseconds of the monotonic clock
+     * @return the refusal, or nothing when the statement is queued
+     */
+    Option<Refusal> offer(ClientAccountId account, T item, long deadlineMillis, long nowMillis);
+
+    /**
+     * Takes the statement to run next, passing over those whose deadline has passed.
+     *
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    Optional<T> poll(long nowMillis);
+
+    /**
+     * Removes and returns the statements whose deadline has passed.
+     *
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    List<T> expire(long nowMillis);
+
+    /** The number of queued statements. */
+    int size();
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/identity/CellId.java
@@ -0,0 +1,24 @@
+package org.hyssopswitch.core.identity;
+
+/**
+ * Names a cell: a bounded set of VMs of one data centre that know each other.
+ *
+ * @param value lower-case letters, digits, dots and hyphens, at most 63 characters
+ */
+public record CellId(String value) implements Comparable<CellId> {
+
+    /** Checks the form of the identifier. */
+    public CellId {
+        IdentifierUtils.requireIdentifier("cell", value);
+    }
+
+    @Override
+    public int compareTo(CellId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/identity/ClientAccountId.java
@@ -0,0 +1,24 @@
+package org.hyssopswitch.core.identity;
+
+/**
+ * Names a client account.
+ *
+ * @param value lower-case letters, digits, dots and hyphens, at most 63 characters
+ */
+public record ClientAccountId(String value) implements Comparable<ClientAccountId> {
+
+    /** Checks the form of the identifier. */
+    public ClientAccountId {
+        IdentifierUtils.requireIdentifier("client account", value);
+    }
+
+    @Override
+    public int compareTo(ClientAccountId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers of VMs, data centres, client accounts, databases and endpoints. */
+package org.hyssopswitch.core.identity;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/key/package-info.java
@@ -0,0 +1,2 @@
+/** Authentication of callers by keys. */
+package org.hyssopswitch.core.key;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Rate and burst shares of client accounts. */
+package org.hyssopswitch.core.limit;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership of a cell of VMs. */
+package org.hyssopswitch.core.membership;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** The marker of messages exchanged between VMs. */
+package org.hyssopswitch.core.message;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decision logic of a VM: tables, systems and typed events, without I/O. */
+package org.hyssopswitch.core;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of endpoints on home VMs. */
+package org.hyssopswitch.core.placement;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/position/EndpointRole.java
@@ -0,0 +1,11 @@
+package org.hyssopswitch.core.position;
+
+/** The role of an endpoint in its database group. */
+public enum EndpointRole {
+    /** Accepts writes of its term. */
+    PRIMARY,
+    /** Applies the primary's log and serves reads. */
+    REPLICA,
+    /** Has accepted a newer term and waits for its primary; serves no writes. */
+    FENCED
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/position/EndpointStatus.java
@@ -0,0 +1,43 @@
+package org.hyssopswitch.core.position;
+
+import org.hyssopswitch.core.identity.EndpointId;
+
+/**
+ * What an endpoint reports about itself.
+ *
+ * @param endpoint the endpoint
+ * @param role the role the endpoint has in its group
+ * @param acceptedTerm highest term the endpoint has accepted; it refuses work of lower terms
+ * @param applied last log position applied, with the term that wrote it
+ * @param termStart offset at which the log of the term in {@code applied} began
+ * @param contactAgeMillis milliseconds since the endpoint last heard from its primary by replication; 0 on a primary
+ * @param dataAgeMillis milliseconds since the endpoint last had everything that its primary had then; 0 on a primary
+ */
+public record EndpointStatus(
+        EndpointId endpoint,
+        EndpointRole role,
+        long acceptedTerm,
+        LogPosition applied,
+        long termStart,
+        long contactAgeMillis,
+        long dataAgeMillis) {
+
+    /**
+     * Tells whether every acknowledged entry up to a floor is applied here.
+     *
+     * <p>A floor of an older term is covered when the log has reached it or the point where the newer term began:
+     * a promotion keeps every acknowledged entry, so a floor beyond that point holds no acknowledged entry of the
+     * older term.
+     *
+     * @param floor the position that must be covered
+     */
+    public boolean covers(LogPosition floor) {
+        if (applied.term() < floor.term()) {
+            return false;
+        }
+        if (applied.term() == floor.term()) {
+            return applied.offset() >= floor.offset();
+        }
+        return applied.offset() >= Math.min(floor.offset(), termStart);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/position/package-info.java
@@ -0,0 +1,2 @@
+/** Terms and positions in a database group's log. */
+package org.hyssopswitch.core.position;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budgets, backoff and deadlines. */
+package org.hyssopswitch.core.retry;
--- /dev/null
+++ b/hyssopswitch-ctl/src/main/java/org/hyssopswitch/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.hyssopswitch.ctl;
--- /dev/null
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load, audit and reports. */
+package org.hyssopswitch.load;
--- /dev/null
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack messages and authenticated links between VMs. */
+package org.hyssopswitch.peer;
--- /dev/null
+++ b/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's object API. */
+package org.hyssopswitch.platform;
--- /dev/null
+++ b/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/package-info.java
@@ -0,0 +1,2 @@
+/** YAML settings and declarations, read and validated. */
+package org.hyssopswitch.settings;
--- /dev/null
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for database groups and the platform, with faults. */
+package org.hyssopswitch.standin;
--- /dev/null
+++ b/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/package-info.java
@@ -0,0 +1,2 @@
+/** PostgreSQL protocol version 3 frames. */
+package org.hyssopswitch.wire;
