--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/fairness/StatementQueue.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/fairness/StatementQueue.java
@@ -32,7 +32,8 @@
     Optional<T> poll(long nowMillis);
 
     /**
-     * Removes and returns the statements whose deadline has passed.
+     * Returns, once each, the statements that will not run: their deadline has passed, or they were shed to make room
+     * for a client account that uses less of its share.
      *
      * @param nowMillis milliseconds of the monotonic clock
      */
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/retry/Attempt.java
@@ -0,0 +1,19 @@
+package org.hyssopswitch.core.retry;
+
+/**
+ * An attempt to run a statement that ended without an answer.
+ *
+ * @param number number of the attempt, from 1
+ * @param repeatable whether the statement may run more than once: a read, or declared as repeatable
+ * @param mayHaveRun whether a byte of the statement has left towards an endpoint that did not refuse it before running
+ * @param deadline when the statement is given up
+ */
+public record Attempt(int number, boolean repeatable, boolean mayHaveRun, Deadline deadline) {
+
+    /** Checks the number. */
+    public Attempt {
+        if (number < 1) {
+            throw new IllegalArgumentException("the number of an attempt must be 1 or more, but is " + number);
+        }
+    }
+}
