Add authenticated peer links with MessagePack frames

VMs need ordered messages from authenticated peers only. Each direction of a VM pair gets one link, dialled by the sender. Records travel as positional MessagePack arrays; lengths are checked against the rest of the frame before anything is allocated. A full send queue fails the link, and dials back off with jitter.

--- /dev/null
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLink.java
@@ -0,0 +1,200 @@
+package org.hyssopswitch.peer;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.BiConsumer;
+import org.glassfish.grizzly.Connection;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/** A link that this VM dialled; it carries messages to the other VM only. Frames wait until the link is open. */
+final class OutboundLink implements LinkEnd {
+
+    private final LinkContext context;
+    private final VmAddress to;
+    private final BiConsumer<OutboundLink, PeerFailure> onFailure;
+    private final Runnable onOpen;
+    private final Queue<byte[]> waiting = new ArrayDeque<>();
+    private final LinkMessages.Hello hello;
+    private long waitingBytes;
+    private State state = State.DIALLING;
+    private Connection<?> connection;
+
+    OutboundLink(LinkContext context, VmAddress to, Runnable onOpen, BiConsumer<OutboundLink, PeerFailure> onFailure) {
+        this.context = context;
+        this.to = to;
+        this.onOpen = onOpen;
+        this.onFailure = onFailure;
+        this.hello = new LinkMessages.Hello(
+                context.self(), to, context.authenticator().nonce());
+    }
+
+    VmAddress to() {
+        return to;
+    }
+
+    /** The connection is made; the handshake begins. */
+    synchronized void connected(Connection<?> made) {
+        if (state != State.DIALLING) {
+            made.closeSilently();
+            return;
+        }
+        connection = made;
+        FrameFilter.attach(made, this);
+        state = State.AWAITING_CHALLENGE;
+        context.write(made, hello);
+    }
+
+    void send(byte[] frame) {
+        if (!enqueue(frame)) {
+            fail(new PeerFailure.SendQueueFull(to, context.limits().maxPendingBytes()));
+        }
+    }
+
+    /** Ends the link unless it has opened by now. */
+    void expire() {
+        if (!isOpen()) {
+            fail(new PeerFailure.DialFailed(to, "no handshake in time"));
+        }
+    }
+
+    @Override
+    public int maxFrameBytes() {
+        return LinkContext.MAX_HANDSHAKE_BYTES;
+    }
+
+    @Override
+    public boolean frameReceived(byte[] frame) {
+        return context.decode(frame)
+                .fold(
+                        failure -> {
+                            fail(failure);
+                            return false;
+                        },
+                        this::messageReceived);
+    }
+
+    @Override
+    public void fail(PeerFailure failure) {
+        if (closeOnce()) {
+            onFailure.accept(this, failure);
+        }
+    }
+
+    /** Closes the link without a report. */
+    void close() {
+        closeOnce();
+    }
+
+    private synchronized boolean isOpen() {
+        return state == State.OPEN;
+    }
+
+    private synchronized boolean enqueue(byte[] frame) {
+        if (state == State.CLOSED) {
+            context.metrics().dropped();
+            return true;
+        }
+        if (state == State.OPEN) {
+            return writeIfRoom(frame);
+        }
+        waitingBytes += frame.length;
+        waiting.add(frame);
+        return waitingBytes <= context.limits().maxPendingBytes();
+    }
+
+    private boolean writeIfRoom(byte[] frame) {
+        if (!connection.canWrite()) {
+            return false;
+        }
+        context.write(connection, frame);
+        return true;
+    }
+
+    private boolean messageReceived(PeerMessage message) {
+        if (message instanceof LinkMessages.Challenge challenge) {
+            return challenged(challenge);
+        }
+        if (message instanceof LinkMessages.Welcome) {
+            return welcomed();
+        }
+        if (message instanceof LinkMessages.Refused refused) {
+            fail(refusal(refused.reason()));
+            return false;
+        }
+        fail(new PeerFailure.MalformedFrame("unexpected " + message.getClass().getSimpleName()));
+        return false;
+    }
+
+    private boolean challenged(LinkMessages.Challenge challenge) {
+        if (!moveOn(State.AWAITING_CHALLENGE, State.AWAITING_WELCOME)) {
+            return false;
+        }
+        LinkAuthenticator authenticator = context.authenticator();
+        if (!authenticator.verify(LinkAuthenticator.Role.ACCEPTOR, hello, challenge.nonce(), challenge.proof())) {
+            fail(new PeerFailure.StrangerRefused(
+                    "VM " + to.vm() + " at " + to.host() + ":" + to.port() + " does not have the fleet secret"));
+            return false;
+        }
+        byte[] proof = authenticator.proof(LinkAuthenticator.Role.DIALLER, hello, challenge.nonce());
+        context.write(connection, new LinkMessages.Proof(proof));
+        return true;
+    }
+
+    private boolean welcomed() {
+        if (!moveOn(State.AWAITING_WELCOME, State.OPEN)) {
+            return false;
+        }
+        onOpen.run();
+        return true;
+    }
+
+    private synchronized boolean moveOn(State expected, State next) {
+        if (state != expected) {
+            return rejectOutOfOrder();
+        }
+        state = next;
+        if (next == State.OPEN) {
+            waiting.forEach(f -> context.write(connection, f));
+            waiting.clear();
+        }
+        return true;
+    }
+
+    private boolean rejectOutOfOrder() {
+        if (state != State.CLOSED) {
+            fail(new PeerFailure.MalformedFrame("a message of the handshake came out of order"));
+        }
+        return false;
+    }
+
+    private PeerFailure refusal(LinkMessages.Reason reason) {
+        return switch (reason) {
+            case OTHER_INCARNATION ->
+                new PeerFailure.OtherIncarnation(
+                        "VM " + to.vm() + " with incarnation " + to.incarnation() + " does not accept this link");
+            case WRONG_PROOF -> new PeerFailure.StrangerRefused("VM " + to.vm() + " refused this VM's proof");
+            case PROTOCOL_ERROR -> new PeerFailure.DialFailed(to, "VM refused the handshake");
+        };
+    }
+
+    private synchronized boolean closeOnce() {
+        if (state == State.CLOSED) {
+            return false;
+        }
+        state = State.CLOSED;
+        waiting.clear();
+        if (connection != null) {
+            connection.closeSilently();
+        }
+        return true;
+    }
+
+    private enum State {
+        DIALLING,
+        AWAITING_CHALLENGE,
+        AWAITING_WELCOME,
+        OPEN,
+        CLOSED
+    }
+}
--- /dev/null
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the messages and links between VMs. */
+package org.hyssopswitch.peer;
