Add membership of cells by sampled heartbeats

Cause: homes, shares and orderers are chosen from a view of live VMs, while the platform's list lags.

--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/HeartbeatDetector.java
@@ -0,0 +1,129 @@
+package org.hyssopswitch.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.VmAddress;
+
+/** Sends heartbeats to members of the own cell in random order and suspects those that do not answer. */
+final class HeartbeatDetector {
+
+    private static final int INDIRECT_PROBES = 2;
+    private static final int MAX_RELAYED_PROBES = 256;
+
+    private final MemberTable table;
+    private final VmAddress self;
+    private final MembershipSettings settings;
+    private final RandomGenerator random;
+    private final Map<Long, Probe> probes = new LinkedHashMap<>();
+    private final Map<Long, Relayed> relayed = new LinkedHashMap<>();
+    private final List<VmAddress> rotation = new ArrayList<>();
+    private long lastSequence;
+    private long nextRoundMillis;
+
+    HeartbeatDetector(MemberTable table, VmAddress self, MembershipSettings settings, RandomGenerator random) {
+        this.table = table;
+        this.self = self;
+        this.settings = settings;
+        this.random = random;
+    }
+
+    void tick(long nowMillis, Outbox out) {
+        List.copyOf(probes.entrySet()).forEach(e -> age(e.getKey(), e.getValue(), nowMillis, out));
+        if (nowMillis >= nextRoundMillis) {
+            nextRoundMillis = nowMillis + settings.periodMillis();
+            for (int i = 0; i < settings.fanout() && refillRotation(); i++) {
+                probe(rotation.remove(rotation.size() - 1), nowMillis, out);
+            }
+        }
+    }
+
+    /** Sends a heartbeat outside the rotation, for example to a VM that is not known to be live. */
+    void greet(VmAddress target, Outbox out) {
+        out.add(new Action.SendMessage(target, new MembershipPing(++lastSequence, table.updatesFor(target))));
+    }
+
+    void onPing(VmAddress from, MembershipPing ping, Outbox out) {
+        out.add(new Action.SendMessage(from, new MembershipAck(ping.sequence(), table.updatesFor(from))));
+    }
+
+    void onAck(MembershipAck ack, Outbox out) {
+        probes.remove(ack.sequence());
+        Relayed origin = relayed.remove(ack.sequence());
+        if (origin != null) {
+            VmAddress requester = origin.requester();
+            out.add(new Action.SendMessage(
+                    requester, new MembershipAck(origin.sequence(), table.updatesFor(requester))));
+        }
+    }
+
+    void onProbeRequest(VmAddress from, MembershipProbeRequest request, Outbox out) {
+        if (relayed.size() >= MAX_RELAYED_PROBES) {
+            relayed.remove(relayed.keySet().iterator().next());
+        }
+        greet(request.target(), out);
+        relayed.put(lastSequence, new Relayed(from, request.sequence()));
+    }
+
+    /** Drops the outstanding heartbeats to a VM that has shown itself alive. */
+    void onSeen(VmAddress from) {
+        probes.values().removeIf(probe -> probe.target().equals(from));
+    }
+
+    private void probe(VmAddress target, long nowMillis, Outbox out) {
+        boolean outstanding = probes.values().stream().anyMatch(p -> p.target().equals(target));
+        if (!outstanding) {
+            greet(target, out);
+            probes.put(lastSequence, new Probe(target, nowMillis, false));
+        }
+    }
+
+    private void age(long sequence, Probe probe, long nowMillis, Outbox out) {
+        long waited = nowMillis - probe.sentMillis();
+        if (!probe.indirect() && waited >= settings.probeTimeoutMillis()) {
+            probes.put(sequence, new Probe(probe.target(), nowMillis, true));
+            askOthers(sequence, probe.target(), out);
+        } else if (probe.indirect() && waited >= settings.indirectTimeoutMillis()) {
+            probes.remove(sequence);
+            table.suspect(probe.target(), nowMillis);
+        }
+    }
+
+    private void askOthers(long sequence, VmAddress target, Outbox out) {
+        List<VmAddress> helpers = others();
+        helpers.remove(target);
+        shuffle(helpers);
+        helpers.stream()
+                .limit(INDIRECT_PROBES)
+                .forEach(h -> out.add(new Action.SendMessage(h, new MembershipProbeRequest(sequence, target))));
+    }
+
+    private boolean refillRotation() {
+        if (rotation.isEmpty()) {
+            rotation.addAll(others());
+            shuffle(rotation);
+        }
+        return !rotation.isEmpty();
+    }
+
+    private List<VmAddress> others() {
+        List<VmAddress> result = new ArrayList<>();
+        table.facts(MemberUpdate::isLive).forEach(f -> result.add(f.address()));
+        result.remove(self);
+        return result;
+    }
+
+    private void shuffle(List<VmAddress> list) {
+        Collections.shuffle(list, new Random(random.nextLong()));
+    }
+
+    private record Probe(VmAddress target, long sentMillis, boolean indirect) {}
+
+    private record Relayed(VmAddress requester, long sequence) {}
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MemberTable.java
@@ -0,0 +1,226 @@
+package org.hyssopswitch.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+
+/** The members of the own cell. Bounded: beyond {@value #MAX_MEMBERS} rows no further member is taken up. */
+final class MemberTable {
+
+    static final int MAX_MEMBERS = 48;
+    static final int MAX_UPDATES_PER_MESSAGE = 6;
+
+    private static final int TRANSMISSIONS_PER_DOUBLING = 3;
+    private static final long DEAD_KEPT_MILLIS = 60_000;
+    private static final long LINK_FAILURE_MILLIS = 1_000;
+    private static final int MAX_GONE = 1_024;
+
+    private final VmAddress self;
+    private final Map<VmId, Member> members = new TreeMap<>();
+    private final Map<VmId, Long> gone = new LinkedHashMap<>();
+    private long version;
+
+    MemberTable(VmAddress self) {
+        this.self = self;
+        members.put(self.vm(), new Member(new MemberUpdate(self, MemberState.ALIVE, 0, false), 0, 1));
+    }
+
+    long version() {
+        return version;
+    }
+
+    Collection<Member> rows() {
+        return members.values();
+    }
+
+    Optional<Member> find(VmId vm) {
+        return Optional.ofNullable(members.get(vm));
+    }
+
+    /** The facts about members that satisfy a condition, in order of their names. */
+    List<MemberUpdate> facts(Predicate<MemberUpdate> condition) {
+        return members.values().stream().map(Member::fact).filter(condition).toList();
+    }
+
+    boolean isGone(VmId vm, long incarnation) {
+        return incarnation <= gone.getOrDefault(vm, Long.MIN_VALUE);
+    }
+
+    /** Takes an update that says more than what is known. */
+    void merge(MemberUpdate update, long nowMillis) {
+        VmAddress address = update.address();
+        if (!address.cell().equals(self.cell())) {
+            return;
+        }
+        if (update.state() == MemberState.GONE) {
+            addGone(address.vm(), address.incarnation());
+        }
+        if (address.vm().equals(self.vm())) {
+            mergeSelf(update, nowMillis);
+            return;
+        }
+        Member row = members.get(address.vm());
+        if (row == null) {
+            insert(update, nowMillis);
+            return;
+        }
+        mergeRow(row, update, nowMillis);
+    }
+
+    /** Notes that a message of a VM arrived, which shows that its incarnation has started. */
+    void seen(VmAddress from, long nowMillis) {
+        merge(new MemberUpdate(from, MemberState.ALIVE, 0, false), nowMillis);
+        find(from.vm()).ifPresent(row -> clearLinkFailure(row, Long.MAX_VALUE));
+    }
+
+    void suspect(VmAddress address, long nowMillis) {
+        escalate(address, MemberState.SUSPECT, nowMillis);
+    }
+
+    void markLinkFailed(VmAddress address, long nowMillis) {
+        find(address.vm())
+                .filter(row -> row.fact().address().equals(address) && !address.equals(self))
+                .ifPresent(row -> {
+                    row.markLinkFailed(nowMillis + LINK_FAILURE_MILLIS);
+                    version++;
+                });
+    }
+
+    void markLeaving(VmAddress address, long nowMillis) {
+        find(address.vm())
+                .map(Member::fact)
+                .filter(fact -> fact.address().incarnation() == address.incarnation() && !fact.leaving())
+                .ifPresent(fact -> change(
+                        members.get(address.vm()),
+                        new MemberUpdate(fact.address(), fact.state(), fact.counter(), true),
+                        nowMillis));
+    }
+
+    /** Declares dead the members that did not refute a suspicion in time and forgets those long dead. */
+    void expire(long nowMillis, long suspicionMillis) {
+        for (Member row : List.copyOf(members.values())) {
+            clearLinkFailure(row, nowMillis);
+            MemberState state = row.fact().state();
+            if (state == MemberState.SUSPECT && nowMillis - row.changedMillis() >= suspicionMillis) {
+                escalate(row.fact().address(), MemberState.DEAD, nowMillis);
+            }
+            if (!row.fact().isLive() && nowMillis - row.changedMillis() > DEAD_KEPT_MILLIS) {
+                members.remove(row.fact().address().vm());
+                version++;
+            }
+        }
+    }
+
+    /** Declares gone the dead members that a list once held and holds no more. */
+    void confirmGone(Predicate<VmAddress> isListed, long nowMillis) {
+        for (Member row : List.copyOf(members.values())) {
+            VmAddress address = row.fact().address();
+            if (isListed.test(address)) {
+                row.markListed();
+            } else if (row.fact().state() == MemberState.DEAD && row.isListed()) {
+                addGone(address.vm(), address.incarnation());
+                escalate(address, MemberState.GONE, nowMillis);
+            }
+        }
+    }
+
+    /** Chooses the updates to send with a message: the one about a suspected recipient, then the least sent. */
+    List<MemberUpdate> updatesFor(VmAddress recipient) {
+        List<MemberUpdate> updates = new ArrayList<>();
+        find(recipient.vm())
+                .filter(row -> row.fact().state() != MemberState.ALIVE)
+                .ifPresent(row -> updates.add(row.fact()));
+        List<Member> fresh = members.values().stream()
+                .filter(row -> row.transmissions() > 0)
+                .sorted(Comparator.comparingInt(Member::transmissions).reversed())
+                .limit(MAX_UPDATES_PER_MESSAGE - updates.size())
+                .toList();
+        fresh.forEach(row -> {
+            row.transmitted();
+            updates.add(row.fact());
+        });
+        return updates;
+    }
+
+    private void mergeSelf(MemberUpdate update, long nowMillis) {
+        Member own = members.get(self.vm());
+        MemberUpdate fact = own.fact();
+        boolean same = update.address().incarnation() == self.incarnation();
+        if (same && update.state() != MemberState.ALIVE && update.counter() >= fact.counter()) {
+            change(own, new MemberUpdate(self, MemberState.ALIVE, update.counter() + 1, fact.leaving()), nowMillis);
+        }
+        if (update.address().incarnation() > self.incarnation()) {
+            addGone(self.vm(), self.incarnation());
+        }
+    }
+
+    private void mergeRow(Member row, MemberUpdate update, long nowMillis) {
+        MemberUpdate fact = row.fact();
+        long known = fact.address().incarnation();
+        long incoming = update.address().incarnation();
+        if (incoming > known) {
+            addGone(fact.address().vm(), known);
+            change(row, update, nowMillis);
+        } else if (incoming == known && update.supersedes(fact)) {
+            boolean leaving = fact.leaving() || update.leaving();
+            change(row, new MemberUpdate(fact.address(), update.state(), update.counter(), leaving), nowMillis);
+        } else if (incoming == known && update.leaving()) {
+            markLeaving(fact.address(), nowMillis);
+        }
+    }
+
+    private void insert(MemberUpdate update, long nowMillis) {
+        if (!update.isLive()) {
+            return;
+        }
+        if (members.size() >= MAX_MEMBERS) {
+            members.values().removeIf(row -> !row.fact().isLive());
+        }
+        if (members.size() < MAX_MEMBERS) {
+            members.put(update.address().vm(), new Member(update, nowMillis, transmissions()));
+            version++;
+        }
+    }
+
+    private void escalate(VmAddress address, MemberState state, long nowMillis) {
+        find(address.vm())
+                .filter(row -> row.fact().address().equals(address)
+                        && row.fact().state().compareTo(state) < 0
+                        && !address.equals(self))
+                .ifPresent(row -> change(
+                        row,
+                        new MemberUpdate(
+                                address, state, row.fact().counter(), row.fact().leaving()),
+                        nowMillis));
+    }
+
+    private void change(Member row, MemberUpdate next, long nowMillis) {
+        row.change(next, nowMillis, transmissions());
+        version++;
+    }
+
+    private void clearLinkFailure(Member row, long nowMillis) {
+        if (row.clearLinkFailure(nowMillis)) {
+            version++;
+        }
+    }
+
+    private void addGone(VmId vm, long incarnation) {
+        gone.merge(vm, incarnation, Math::max);
+        if (gone.size() > MAX_GONE) {
+            gone.remove(gone.keySet().iterator().next());
+        }
+    }
+
+    private int transmissions() {
+        return TRANSMISSIONS_PER_DOUBLING * (Integer.SIZE - Integer.numberOfLeadingZeros(members.size() + 1));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MembershipSystem.java
@@ -0,0 +1,271 @@
+package org.hyssopswitch.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.DecisionSystem;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.CellId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.placement.RendezvousUtils;
+
+/**
+ * Membership of the own cell by heartbeats with incarnations, suspicion and indirect probes, and views of other cells.
+ *
+ * <p>The platform's list is a source of addresses and the only proof that a silent VM has ended. Each VM reads it at
+ * jittered intervals that grow with the number of listed VMs, so that the calls of the whole fleet stay constant.
+ */
+public final class MembershipSystem implements DecisionSystem, MembershipView {
+
+    private static final long GREET_PERIOD_MILLIS = 2_000;
+    private static final long URGENT_LIST_MILLIS = 3_000;
+    private static final int URGENT_LISTERS = 2;
+
+    private final VmAddress self;
+    private final List<VmAddress> seeds;
+    private final MembershipSettings settings;
+    private final RandomGenerator random;
+    private final MemberTable table;
+    private final HeartbeatDetector detector;
+    private final CellDirectory directory;
+    private final List<VmAddress> ownCellContacts = new ArrayList<>();
+    private int listedVms = 1;
+    private long nowMillis;
+    private long nextListMillis;
+    private long nextGreetMillis;
+    private boolean started;
+
+    /**
+     * Creates the system.
+     *
+     * @param self the address of this VM
+     * @param seeds addresses known from settings; may be empty or outdated
+     * @param settings times and bounds
+     * @param random source of randomness
+     */
+    public MembershipSystem(
+            VmAddress self, List<VmAddress> seeds, MembershipSettings settings, RandomGenerator random) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+        this.settings = settings;
+        this.random = random;
+        this.table = new MemberTable(self);
+        this.detector = new HeartbeatDetector(table, self, settings, random);
+        this.directory = new CellDirectory(random);
+    }
+
+    /** Announces that this VM is leaving and is to get no new work. */
+    public void leave() {
+        table.markLeaving(self, nowMillis);
+    }
+
+    @Override
+    public VmAddress self() {
+        return self;
+    }
+
+    @Override
+    public long version() {
+        return table.version() + directory.version();
+    }
+
+    @Override
+    public List<VmAddress> live(CellId cell) {
+        return members(cell).stream()
+                .filter(MemberUpdate::isLive)
+                .map(MemberUpdate::address)
+                .toList();
+    }
+
+    @Override
+    public List<VmAddress> candidates(CellId cell) {
+        List<VmAddress> staying = members(cell).stream()
+                .filter(m -> m.isLive() && !m.leaving())
+                .map(MemberUpdate::address)
+                .toList();
+        return staying.isEmpty() ? live(cell) : staying;
+    }
+
+    @Override
+    public boolean isSuspected(VmAddress vm) {
+        if (!vm.cell().equals(self.cell())) {
+            return directory.isSuspected(vm);
+        }
+        return table.find(vm.vm()).map(Member::isSuspected).orElse(true);
+    }
+
+    @Override
+    public boolean isConfirmedGone(VmId vm, long incarnation) {
+        return table.isGone(vm, incarnation);
+    }
+
+    @Override
+    public void tick(long now, Outbox out) {
+        nowMillis = now;
+        if (!started) {
+            start(now);
+        }
+        table.expire(now, settings.suspicionMillis());
+        detector.tick(now, out);
+        directory.tick(now, out);
+        if (now >= nextGreetMillis) {
+            nextGreetMillis = now + jittered(GREET_PERIOD_MILLIS);
+            greetAbsent(out);
+            compareView(out);
+        }
+        listIfDue(now, out);
+    }
+
+    @Override
+    public void handle(Event event, long now, Outbox out) {
+        nowMillis = now;
+        if (event instanceof Event.MessageReceived received) {
+            receive(received.from(), received.message(), out);
+        } else if (event instanceof Event.VmsListed listed) {
+            takeList(listed, now);
+        } else if (event instanceof Event.LinkFailed failed) {
+            linkFailed(failed.to(), now);
+        }
+    }
+
+    private void start(long now) {
+        started = true;
+        nextListMillis = now + random.nextLong(settings.minListMillis());
+        seeds.forEach(this::addContact);
+    }
+
+    private void receive(VmAddress from, PeerMessage message, Outbox out) {
+        if (from.cell().equals(self.cell())) {
+            table.seen(from, nowMillis);
+            detector.onSeen(from);
+        }
+        if (message instanceof MembershipPing ping) {
+            ping.updates().forEach(u -> table.merge(u, nowMillis));
+            detector.onPing(from, ping, out);
+        } else if (message instanceof MembershipAck ack) {
+            ack.updates().forEach(u -> table.merge(u, nowMillis));
+            detector.onAck(ack, out);
+        } else if (message instanceof MembershipProbeRequest request) {
+            detector.onProbeRequest(from, request, out);
+        } else if (message instanceof CellViewRequest request) {
+            out.add(new Action.SendMessage(from, reply(request)));
+        } else if (message instanceof CellViewReply reply) {
+            takeView(from, reply);
+        }
+    }
+
+    private CellViewReply reply(CellViewRequest request) {
+        if (!request.cell().equals(self.cell())) {
+            return new CellViewReply(request.cell(), 0, List.of());
+        }
+        List<MemberUpdate> live = table.facts(MemberUpdate::isLive);
+        long digest = ownDigest();
+        return new CellViewReply(self.cell(), digest, digest == request.digest() ? List.of() : live);
+    }
+
+    private void takeList(Event.VmsListed listed, long now) {
+        List<VmAddress> all = new ArrayList<>(listed.live());
+        all.addAll(listed.leaving());
+        all.forEach(this::addContact);
+        directory.retainListed(
+                all.stream().filter(a -> !a.cell().equals(self.cell())).toList());
+        listed.leaving().forEach(a -> table.markLeaving(a, now));
+        listedVms = Math.max(1, all.size());
+        Set<VmAddress> set = new HashSet<>(all);
+        if (set.contains(self)) {
+            table.confirmGone(set::contains, now);
+        }
+    }
+
+    private void addContact(VmAddress address) {
+        if (!address.cell().equals(self.cell())) {
+            directory.addContact(address);
+            return;
+        }
+        ownCellContacts.removeIf(a -> a.vm().equals(address.vm()) && a.incarnation() <= address.incarnation());
+        if (ownCellContacts.size() < MemberTable.MAX_MEMBERS && !address.vm().equals(self.vm())) {
+            ownCellContacts.add(address);
+        }
+    }
+
+    private void linkFailed(VmAddress to, long now) {
+        if (to.cell().equals(self.cell())) {
+            table.markLinkFailed(to, now);
+        } else {
+            directory.markLinkFailed(to, now);
+        }
+    }
+
+    /** Sends heartbeats to known addresses that are not live members, so that separated parts of a cell meet again. */
+    private void greetAbsent(Outbox out) {
+        Set<VmAddress> absent = new HashSet<>(ownCellContacts);
+        table.facts(f -> f.state() == MemberState.DEAD).forEach(f -> absent.add(f.address()));
+        List<MemberUpdate> live = table.facts(MemberUpdate::isLive);
+        live.forEach(f -> absent.removeIf(a -> a.vm().equals(f.address().vm())));
+        absent.stream()
+                .sorted(RendezvousUtils.byScore(Long.toString(random.nextLong()), a -> a.vm().value()))
+                .limit(2)
+                .forEach(a -> detector.greet(a, out));
+    }
+
+    /** Asks one random member for its view, which completes what heartbeats have not carried. */
+    private void compareView(Outbox out) {
+        List<VmAddress> others = new ArrayList<>(live(self.cell()));
+        others.remove(self);
+        if (!others.isEmpty()) {
+            VmAddress peer = others.get(random.nextInt(others.size()));
+            out.add(new Action.SendMessage(peer, new CellViewRequest(self.cell(), ownDigest())));
+        }
+    }
+
+    private long ownDigest() {
+        return Math.max(1, table.facts(MemberUpdate::isLive).hashCode() & 0xffff_ffffL);
+    }
+
+    private void takeView(VmAddress from, CellViewReply reply) {
+        if (!reply.cell().equals(self.cell())) {
+            directory.onReply(from, reply);
+            return;
+        }
+        reply.members().stream().limit(MemberTable.MAX_MEMBERS).forEach(m -> table.merge(m, nowMillis));
+    }
+
+    private void listIfDue(long now, Outbox out) {
+        if (directory.lacksContacts() || isUrgentLister()) {
+            nextListMillis = Math.min(nextListMillis, now + jittered(URGENT_LIST_MILLIS));
+        }
+        if (now >= nextListMillis) {
+            long mean = Math.max(settings.minListMillis(), listedVms * settings.listMillisPerVm());
+            nextListMillis = now + jittered(mean);
+            out.add(new Action.ListVms());
+        }
+    }
+
+    /** Whether a dead member waits for confirmation by the list and this VM is one of the few that ask for it. */
+    private boolean isUrgentLister() {
+        List<MemberUpdate> dead = table.facts(f -> f.state() == MemberState.DEAD);
+        if (dead.isEmpty()) {
+            return false;
+        }
+        List<MemberUpdate> live = table.facts(MemberUpdate::isLive);
+        return dead.stream().anyMatch(d -> live.stream()
+                .map(f -> f.address().vm())
+                .sorted(RendezvousUtils.byScore(d.address().vm().value(), VmId::value))
+                .limit(URGENT_LISTERS)
+                .anyMatch(self.vm()::equals));
+    }
+
+    private List<MemberUpdate> members(CellId cell) {
+        return cell.equals(self.cell()) ? table.facts(f -> true) : directory.members(cell, nowMillis);
+    }
+
+    private long jittered(long millis) {
+        return millis / 2 + random.nextLong(millis);
+    }
+}
