--- a/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/PlatformClient.java
+++ b/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/PlatformClient.java
@@ -51,6 +51,14 @@
     /** Reads the list of VMs. */
     CompletionStage<Either<PlatformFailure, VmList>> listVms();
 
+    /**
+     * Registers a VM that has started; the list of VMs shows it some time later.
+     *
+     * @param vm the VM with its incarnation and the address of its peer listener
+     * @return the VM as registered
+     */
+    CompletionStage<Either<PlatformFailure, VmAddress>> register(VmAddress vm);
+
     /** Ends pending calls. */
     @Override
     void close();
--- /dev/null
+++ b/hyssopswitch-platform/src/test/java/org/hyssopswitch/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform client. */
+package org.hyssopswitch.platform;
