--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/forward/AnswerEnd.java
@@ -0,0 +1,29 @@
+package org.hyssopswitch.proxy.forward;
+
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
+
+/**
+ * The end of an answer.
+ *
+ * @param stream the stream
+ * @param epoch incarnation of the entry VM
+ * @param sequence number of the cycle
+ * @param state how the cycle ended
+ * @param transaction transaction status of the endpoint connection; the stream stays open unless it is idle
+ * @param confirmed position that a majority confirmed; zero for none
+ * @param retryAfterMillis milliseconds after which a repeat is worth while; 0 for no advice
+ * @param reason why the cycle failed; empty when it is complete
+ * @param frames the last frames without ReadyForQuery, encoded
+ */
+public record AnswerEnd(
+        long stream,
+        long epoch,
+        int sequence,
+        AnswerState state,
+        TransactionState transaction,
+        LogPosition confirmed,
+        long retryAfterMillis,
+        String reason,
+        byte[] frames)
+        implements PeerMessage {}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/forward/CycleFacts.java
@@ -0,0 +1,26 @@
+package org.hyssopswitch.proxy.forward;
+
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DatabaseId;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.LogPosition;
+
+/**
+ * What routing decided about a cycle.
+ *
+ * @param account the client account that pays
+ * @param database the database
+ * @param endpoint the endpoint
+ * @param reader whether to run as the user whose writes the endpoint refuses
+ * @param latest whether the answer must be confirmed as the latest by a majority of the group
+ * @param floor position that the endpoint must have applied
+ * @param remainingMillis milliseconds left until the statement's deadline
+ */
+public record CycleFacts(
+        ClientAccountId account,
+        DatabaseId database,
+        EndpointId endpoint,
+        boolean reader,
+        boolean latest,
+        LogPosition floor,
+        long remainingMillis) {}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/package-info.java
@@ -0,0 +1,2 @@
+/** The endpoints' side: connection pools, slots, held acknowledgements and control calls. */
+package org.hyssopswitch.proxy.home;
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/operations/package-info.java
@@ -0,0 +1,2 @@
+/** Health, status and metrics over HTTP. */
+package org.hyssopswitch.proxy.operations;
