--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/Confirmations.java
@@ -0,0 +1,22 @@
+package org.hyssopswitch.proxy.home;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The answers that wait for a confirmation, by ticket. */
+final class Confirmations {
+
+    private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
+    private long lastTicket;
+
+    long open(Consumer<Boolean> target) {
+        waiting.put(++lastTicket, target);
+        return lastTicket;
+    }
+
+    void resolve(long ticket, boolean confirmed) {
+        Option.of(waiting.remove(ticket)).forEach(t -> t.accept(confirmed));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ConnectionPool.java
@@ -0,0 +1,180 @@
+package org.hyssopswitch.proxy.home;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/** The statement connections of one endpoint, within this VM's share of the endpoint's cap. */
+final class ConnectionPool implements EndpointConnection.Owner {
+
+    private static final Logger LOG = LogManager.getLogger(ConnectionPool.class);
+    private static final long MIN_BACKOFF_MILLIS = 100;
+    private static final long MAX_BACKOFF_MILLIS = 400;
+    private static final long IDLE_MILLIS = 30_000;
+
+    private final DecisionLoop loop;
+    private final RandomGenerator random;
+    private final Opener opener;
+    private final Runnable changed;
+    private final Map<EndpointConnection, Long> idle = new HashMap<>();
+    private final Set<EndpointConnection> all = new LinkedHashSet<>();
+    private final Set<EndpointConnection> opening = new LinkedHashSet<>();
+    private int limit;
+    private int warm;
+    private EndpointUser lastUsed;
+    private long openAfterMillis;
+    private int failures;
+
+    ConnectionPool(DecisionLoop loop, RandomGenerator random, Opener opener, EndpointUser first, Runnable changed) {
+        this.loop = loop;
+        this.random = random;
+        this.opener = opener;
+        this.lastUsed = first;
+        this.changed = changed;
+    }
+
+    /**
+     * Sets the bounds.
+     *
+     * @param newLimit greatest number of connections
+     * @param newWarm connections to hold ready ahead of demand
+     */
+    void resize(int newLimit, int newWarm) {
+        limit = newLimit;
+        warm = newWarm;
+    }
+
+    int size() {
+        return all.size();
+    }
+
+    /** Consecutive failures to open a connection. */
+    int failures() {
+        return failures;
+    }
+
+    /**
+     * Takes an idle connection, one that the account used last if there is one; otherwise starts to open one.
+     *
+     * @param user the user to run as
+     * @param account the account that will use it
+     */
+    Option<EndpointConnection> acquire(EndpointUser user, ClientAccountId account) {
+        lastUsed = user;
+        Option<EndpointConnection> best = Option.ofOptional(idle.keySet().stream()
+                .filter(c -> c.user().equals(user))
+                .min(Comparator.comparingInt(c -> preference(c, account))));
+        best.forEach(idle::remove);
+        if (best.isEmpty()) {
+            openFor(user);
+        }
+        return best;
+    }
+
+    void release(EndpointConnection connection) {
+        if (!connection.usable() || all.size() > limit) {
+            discard(connection);
+        } else {
+            idle.put(connection, loop.nowMillis());
+        }
+        changed.run();
+    }
+
+    void discard(EndpointConnection connection) {
+        connection.close();
+        forget(connection);
+    }
+
+    /** Opens connections ahead of demand and closes those unused for long. */
+    void tick() {
+        long now = loop.nowMillis();
+        List<EndpointConnection> unused = idle.entrySet().stream()
+                .filter(e -> now - e.getValue() > IDLE_MILLIS)
+                .map(Map.Entry::getKey)
+                .toList();
+        unused.stream().limit(Math.max(0, idle.size() - warm)).forEach(this::discard);
+        while (all.size() < Math.min(warm, limit) && mayOpen()) {
+            open(lastUsed);
+        }
+    }
+
+    void close() {
+        limit = 0;
+        warm = 0;
+        new ArrayList<>(all).forEach(this::discard);
+    }
+
+    @Override
+    public void opened(EndpointConnection connection) {
+        failures = 0;
+        opening.remove(connection);
+        release(connection);
+    }
+
+    @Override
+    public void openFailed(EndpointConnection connection, String sqlState) {
+        failures++;
+        openAfterMillis = loop.nowMillis() + random.nextLong(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+        LOG.info("event=endpoint_connect_failed user={} sqlstate={} failures={}", connection.user(), sqlState, failures);
+        forget(connection);
+        changed.run();
+    }
+
+    @Override
+    public void lost(EndpointConnection connection) {
+        forget(connection);
+    }
+
+    private static int preference(EndpointConnection connection, ClientAccountId account) {
+        if (connection.account().contains(account)) {
+            return 0;
+        }
+        return connection.account().isEmpty() ? 1 : 2;
+    }
+
+    private boolean mayOpen() {
+        return loop.nowMillis() >= openAfterMillis;
+    }
+
+    private void openFor(EndpointUser user) {
+        if (!mayOpen() || opening.stream().filter(c -> c.user().equals(user)).count() >= Math.max(1, warm)) {
+            return;
+        }
+        if (all.size() >= limit) {
+            Option.ofOptional(idle.keySet().stream().findFirst()).forEach(this::discard);
+        }
+        if (all.size() < limit) {
+            open(user);
+        }
+    }
+
+    private void open(EndpointUser user) {
+        EndpointConnection connection = opener.create(user, this);
+        all.add(connection);
+        opening.add(connection);
+        connection.open();
+    }
+
+    private void forget(EndpointConnection connection) {
+        idle.remove(connection);
+        opening.remove(connection);
+        all.remove(connection);
+    }
+
+    /** Creates connections. */
+    @FunctionalInterface
+    interface Opener {
+
+        EndpointConnection create(EndpointUser user, EndpointConnection.Owner owner);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ControlCodec.java
@@ -0,0 +1,81 @@
+package org.hyssopswitch.proxy.home;
+
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.hyssopswitch.core.engine.ControlReply;
+import org.hyssopswitch.core.engine.ControlRequest;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.EndpointRole;
+import org.hyssopswitch.core.position.EndpointStatus;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.proxy.home.ControlFailure.BadReply;
+import org.hyssopswitch.wire.BodyReader;
+import org.hyssopswitch.wire.Frame;
+
+/** Writes control calls as SQL and reads their rows. */
+final class ControlCodec {
+
+    private static final int COLUMNS = 9;
+
+    private ControlCodec() {}
+
+    static String sql(ControlRequest request) {
+        if (request instanceof ControlRequest.Fence fence) {
+            return call("hyssop_fence", fence.term(), quoted(fence.orderer()));
+        }
+        if (request instanceof ControlRequest.Promote promote) {
+            return call("hyssop_promote", promote.term(), quoted(promote.orderer()));
+        }
+        if (request instanceof ControlRequest.Follow follow) {
+            return call("hyssop_follow", follow.term(), quoted(follow.primary().value()));
+        }
+        if (request instanceof ControlRequest.AwaitPosition await) {
+            return call("hyssop_await", await.term(), await.offset());
+        }
+        return "SELECT * FROM hyssop_status()";
+    }
+
+    static Either<ControlFailure, ControlReply> reply(EndpointId endpoint, Frame row) {
+        return Try.of(() -> reply(values(row)))
+                .toEither()
+                .mapLeft(e -> new BadReply(endpoint, e.getClass().getSimpleName()));
+    }
+
+    private static String call(String function, Object first, Object second) {
+        return "SELECT * FROM " + function + "(" + first + ", " + second + ")";
+    }
+
+    private static String quoted(String text) {
+        return "'" + text.replace("'", "''") + "'";
+    }
+
+    private static List<String> values(Frame row) {
+        BodyReader body = new BodyReader(row.body());
+        int count = body.readShort();
+        if (count < COLUMNS) {
+            throw new IllegalArgumentException("a control row must have 9 columns, but has " + count);
+        }
+        List<String> values = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            values.add(new String(body.readBytes(body.readInt()), StandardCharsets.UTF_8));
+        }
+        return values;
+    }
+
+    private static ControlReply reply(List<String> v) {
+        boolean accepted = v.get(0).equals("t") || v.get(0).equals("true");
+        EndpointStatus status = new EndpointStatus(
+                new EndpointId(v.get(1)),
+                EndpointRole.valueOf(v.get(2).toUpperCase(Locale.ROOT)),
+                Long.parseLong(v.get(3)),
+                new LogPosition(Long.parseLong(v.get(4)), Long.parseLong(v.get(5))),
+                Long.parseLong(v.get(6)),
+                Long.parseLong(v.get(7)),
+                Long.parseLong(v.get(8)));
+        return new ControlReply(accepted, status);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/StreamKey.java
@@ -0,0 +1,11 @@
+package org.hyssopswitch.proxy.home;
+
+import org.hyssopswitch.core.identity.VmAddress;
+
+/**
+ * Identifies a stream at a home.
+ *
+ * @param entry the VM that opened it, with its incarnation
+ * @param stream number given by that VM
+ */
+record StreamKey(VmAddress entry, long stream) {}
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/FrameNetwork.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/FrameNetwork.java
@@ -8,7 +8,7 @@
 public interface FrameNetwork extends AutoCloseable {
 
     /** Greatest frame that callers and endpoints may send. */
-    int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+    int MAX_FRAME_BYTES = 2 * 1024 * 1024;
 
     /**
      * Accepts connections.
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/GrizzlyChannel.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/GrizzlyChannel.java
@@ -39,7 +39,11 @@
     private boolean broken;
     private boolean closed;
 
-    GrizzlyChannel(DecisionLoop loop, Connection<SocketAddress> connection, FrameDecoder decoder, Option<FilterChain> tlsChain) {
+    GrizzlyChannel(
+            DecisionLoop loop,
+            Connection<SocketAddress> connection,
+            FrameDecoder decoder,
+            Option<FilterChain> tlsChain) {
         this.loop = loop;
         this.connection = connection;
         this.decoder = decoder;
@@ -88,9 +92,7 @@
 
     @Override
     public boolean confidential() {
-        return tls
-                || connection.getPeerAddress() instanceof InetSocketAddress peer
-                        && peer.getAddress().isLoopbackAddress();
+        return tls || loopback();
     }
 
     @Override
@@ -120,6 +122,11 @@
         });
     }
 
+    private boolean loopback() {
+        return connection.getPeerAddress() instanceof InetSocketAddress peer
+                && peer.getAddress().isLoopbackAddress();
+    }
+
     private void deliver(Either<WireFailure, List<Frame>> frames, FilterChainContext context) {
         suspended = Option.some(context);
         dispatch(frames);
