--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ConnectionPool.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ConnectionPool.java
@@ -125,7 +125,8 @@
     public void openFailed(EndpointConnection connection, String sqlState) {
         failures++;
         openAfterMillis = loop.nowMillis() + random.nextLong(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
-        LOG.info("event=endpoint_connect_failed user={} sqlstate={} failures={}", connection.user(), sqlState, failures);
+        LOG.info(
+                "event=endpoint_connect_failed user={} sqlstate={} failures={}", connection.user(), sqlState, failures);
         forget(connection);
         changed.run();
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ControlConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/ControlConnection.java
@@ -28,9 +28,7 @@
     private Option<Either<ControlFailure, ControlReply>> result = Option.none();
 
     ControlConnection(
-            DecisionLoop loop,
-            EndpointId endpoint,
-            Function<EndpointConnection.Owner, EndpointConnection> opener) {
+            DecisionLoop loop, EndpointId endpoint, Function<EndpointConnection.Owner, EndpointConnection> opener) {
         this.loop = loop;
         this.endpoint = endpoint;
         this.opener = opener;
@@ -68,12 +66,14 @@
 
     @Override
     public void openFailed(EndpointConnection failed, String sqlState) {
-        failAll();
+        lost(failed);
     }
 
     @Override
     public void lost(EndpointConnection broken) {
-        failAll();
+        if (connection.contains(broken)) {
+            failAll();
+        }
     }
 
     @Override
@@ -125,6 +125,10 @@
     private void timedOut(Call call) {
         if (calls.remove(call)) {
             call.end(Either.left(new ControlFailure.TimedOut(endpoint, call.timeoutMillis)));
+            if (!connection.exists(EndpointConnection::usable)) {
+                connection.forEach(EndpointConnection::close);
+                failAll();
+            }
         } else if (current.contains(call)) {
             current = Option.none();
             call.end(Either.left(new ControlFailure.TimedOut(endpoint, call.timeoutMillis)));
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.function.BiConsumer;
 import org.hyssopswitch.core.configuration.EndpointDeclaration;
 import org.hyssopswitch.core.fairness.StatementQueue;
 import org.hyssopswitch.core.identity.DatabaseId;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.position.EndpointStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.proxy.forward.AnswerState;
@@ -30,6 +33,7 @@
     private final EndpointDeclaration endpoint;
     private final StatementQueue<HomeStream> queue;
     private final Confirmations confirmations;
+    private final BiConsumer<EndpointId, LogPosition> positions;
     private final Map<StreamKey, HomeStream> streams = new HashMap<>();
     private final Map<StreamKey, CycleRun> runs = new HashMap<>();
     private final Queue<HomeStream> pinned = new ArrayDeque<>();
@@ -40,14 +44,23 @@
     private int running;
 
     EndpointHome(
-            HomeContext context, DatabaseId database, EndpointDeclaration endpoint, Confirmations confirmations) {
+            HomeContext context,
+            DatabaseId database,
+            EndpointDeclaration endpoint,
+            Confirmations confirmations,
+            BiConsumer<EndpointId, LogPosition> positions) {
+        this.positions = positions;
         this.context = context;
         this.database = database;
         this.endpoint = endpoint;
         this.confirmations = confirmations;
         this.queue = context.queues().get();
         this.pool = new ConnectionPool(
-                context.loop(), context.random(), this::connection, context.users().reader(), this::pump);
+                context.loop(),
+                context.random(),
+                this::connection,
+                context.users().reader(),
+                this::pump);
     }
 
     /**
@@ -70,26 +83,14 @@
         return endpoint;
     }
 
-    DatabaseId database() {
-        return database;
-    }
-
-    Option<EndpointStatus> status() {
-        return status;
+    HomeStatus describe() {
+        return new HomeStatus(endpoint.id(), status, streams.size(), queue.size(), pool.size());
     }
 
     int streams() {
         return streams.size();
     }
 
-    int queued() {
-        return queue.size();
-    }
-
-    int connections() {
-        return pool.size();
-    }
-
     void execute(StreamKey key, ExecuteCycle cycle) {
         long deadline = context.loop().nowMillis() + cycle.facts().remainingMillis();
         if (cycle.sequence() == 1 && !streams.containsKey(key)) {
@@ -143,8 +144,23 @@
         pump();
     }
 
+    /** Gives up the streams of an entry VM, which may have missed answers. */
+    void entryLost(VmAddress entry) {
+        List<HomeStream> lost = streams.values().stream()
+                .filter(s -> s.key().entry().equals(entry))
+                .toList();
+        for (HomeStream stream : lost) {
+            boolean waits = stream.phase() == Phase.QUEUED || stream.phase() == Phase.RESETTING;
+            if (stream.phase() != Phase.IDLE) {
+                stream.fail(waits ? AnswerState.NOT_RUN : AnswerState.UNKNOWN, 0, "the link to the entry VM broke");
+            }
+            close(stream.key());
+        }
+    }
+
     void tick() {
-        queue.expire(context.loop().nowMillis()).forEach(s -> refuse(s, AnswerState.OVERLOADED, 1_000, "queue deadline"));
+        queue.expire(context.loop().nowMillis())
+                .forEach(s -> refuse(s, AnswerState.OVERLOADED, 1_000, "queue deadline"));
         pool.tick();
         pump();
     }
@@ -169,6 +185,7 @@
     public void cycleEnded(CycleRun run, TransactionState transaction) {
         HomeStream stream = run.stream();
         finished(run);
+        run.connection().applied().forEach(this::applied);
         if (stream.phase() == Phase.CLOSED) {
             return;
         }
@@ -206,7 +223,11 @@
 
     private void open(HomeStream stream) {
         streams.put(stream.key(), stream);
-        queue.offer(stream.facts().account(), stream, stream.deadlineMillis(), context.loop().nowMillis())
+        queue.offer(
+                        stream.facts().account(),
+                        stream,
+                        stream.deadlineMillis(),
+                        context.loop().nowMillis())
                 .forEach(r -> refuse(stream, AnswerState.OVERLOADED, r.retryAfterMillis(), r.describe()));
     }
 
@@ -231,7 +252,8 @@
         }
         startParked();
         while (running < slots && parked.size() < MAX_PARKED) {
-            Option<HomeStream> stream = Option.ofOptional(queue.poll(context.loop().nowMillis()));
+            Option<HomeStream> stream =
+                    Option.ofOptional(queue.poll(context.loop().nowMillis()));
             if (stream.isEmpty()) {
                 return;
             }
@@ -248,7 +270,8 @@
             HomeStream stream = waiting.next();
             if (stream.phase() != Phase.QUEUED) {
                 waiting.remove();
-            } else if (unreachable() || stream.deadlineMillis() <= context.loop().nowMillis()) {
+            } else if (unreachable()
+                    || stream.deadlineMillis() <= context.loop().nowMillis()) {
                 waiting.remove();
                 failed.add(stream);
             } else if (start(stream)) {
@@ -268,8 +291,11 @@
             refuse(stream, AnswerState.NOT_COVERED, 0, "the endpoint has not applied the session's floor");
             return true;
         }
-        EndpointUser user = stream.facts().reader() ? context.users().reader() : context.users().writer();
-        Option<EndpointConnection> connection = pool.acquire(user, stream.facts().account());
+        EndpointUser user = stream.facts().reader()
+                ? context.users().reader()
+                : context.users().writer();
+        Option<EndpointConnection> connection =
+                pool.acquire(user, stream.facts().account());
         if (connection.isEmpty()) {
             return false;
         }
@@ -283,7 +309,8 @@
 
     /** Resets a connection that another account has used, then runs the stream's cycle on it. */
     private void prepare(HomeStream stream, EndpointConnection connection) {
-        boolean foreign = connection.account().exists(a -> !a.equals(stream.facts().account()));
+        boolean foreign =
+                connection.account().exists(a -> !a.equals(stream.facts().account()));
         stream.bind(connection);
         connection.usedBy(stream.facts().account());
         if (!foreign) {
@@ -332,12 +359,26 @@
         }
     }
 
+    /** Takes a position that came with an answer; a new term needs a whole status. */
+    private void applied(LogPosition position) {
+        positions.accept(endpoint.id(), position);
+        status = status.map(s -> s.applied().term() == position.term() && position.compareTo(s.applied()) > 0
+                ? new EndpointStatus(
+                        s.endpoint(),
+                        s.role(),
+                        s.acceptedTerm(),
+                        position,
+                        s.termStart(),
+                        s.contactAgeMillis(),
+                        s.dataAgeMillis())
+                : s);
+    }
+
     private void confirm(HomeStream stream, TransactionState transaction, LogPosition position) {
         stream.enter(Phase.CONFIRMING);
         long now = context.loop().nowMillis();
         long ticket = confirmations.open(confirmed -> confirmed(stream, transaction, position, confirmed));
-        context.confirmer()
-                .confirm(ticket, endpoint.id(), position, now + CONFIRM_MILLIS, now, context.actions());
+        context.confirmer().confirm(ticket, endpoint.id(), position, now + CONFIRM_MILLIS, now, context.actions());
     }
 
     private void confirmed(HomeStream stream, TransactionState transaction, LogPosition position, boolean confirmed) {
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStatus.java
@@ -0,0 +1,17 @@
+package org.hyssopswitch.proxy.home;
+
+import io.vavr.control.Option;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.EndpointStatus;
+
+/**
+ * What a home reports about one endpoint.
+ *
+ * @param endpoint the endpoint
+ * @param status the last status that the endpoint reported
+ * @param streams streams that run, wait or hold a transaction open
+ * @param queued statements that wait for a slot
+ * @param connections open statement connections
+ */
+public record HomeStatus(
+        EndpointId endpoint, Option<EndpointStatus> status, int streams, int queued, int connections) {}
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
@@ -79,8 +79,7 @@
     void append(ContinueCycle part) {
         byte[] frames = Arrays.copyOf(cycle.frames(), cycle.frames().length + part.frames().length);
         System.arraycopy(part.frames(), 0, frames, cycle.frames().length, part.frames().length);
-        cycle = new ExecuteCycle(
-                cycle.stream(), cycle.epoch(), cycle.sequence(), cycle.facts(), part.open(), frames);
+        cycle = new ExecuteCycle(cycle.stream(), cycle.epoch(), cycle.sequence(), cycle.facts(), part.open(), frames);
     }
 
     void buffer(byte[] frame) {
