--- a/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
+++ b/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.nio.BufferUnderflowException;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.Function;
 import org.hyssopswitch.wire.WireFailure.BadBody;
@@ -118,10 +119,21 @@
      * @param typeOids object identifiers of the column types
      */
     public static Frame rowDescription(List<String> names, List<Integer> typeOids) {
+        return rowDescription(names, typeOids, Collections.nCopies(names.size(), 0));
+    }
+
+    /**
+     * Describes rows.
+     *
+     * @param names column names
+     * @param typeOids object identifiers of the column types
+     * @param formats formats of the columns: 0 for text, 1 for binary
+     */
+    public static Frame rowDescription(List<String> names, List<Integer> typeOids, List<Integer> formats) {
         BodyWriter body = new BodyWriter().writeShort(names.size());
         for (int i = 0; i < names.size(); i++) {
             body.writeString(names.get(i)).writeInt(0).writeShort(0);
-            body.writeInt(typeOids.get(i)).writeShort(-1).writeInt(-1).writeShort(0);
+            body.writeInt(typeOids.get(i)).writeShort(-1).writeInt(-1).writeShort(formats.get(i));
         }
         return body.toFrame('T');
     }
