Confirm commits on a majority through the homes of the sibling endpoints

Cause: an acknowledgement may reach the caller only when a majority holds the position in the term. The digest of a cell view no longer depends on identity hash codes, which differ between processes.

--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ConfirmationRound.java
@@ -0,0 +1,126 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopswitch.core.configuration.DatabaseDeclaration;
+import org.hyssopswitch.core.identity.EndpointId;
+
+/** The pending confirmations of one primary in one term. */
+final class ConfirmationRound {
+
+    private final DatabaseDeclaration database;
+    private final long term;
+    private final List<Ticket> tickets = new ArrayList<>();
+    private final Map<EndpointId, Member> members = new HashMap<>();
+    private long lastSequence;
+
+    ConfirmationRound(DatabaseDeclaration database, long term) {
+        this.database = database;
+        this.term = term;
+        database.endpoints().forEach(e -> members.put(e.id(), new Member()));
+    }
+
+    DatabaseDeclaration database() {
+        return database;
+    }
+
+    long term() {
+        return term;
+    }
+
+    boolean isEmpty() {
+        return tickets.isEmpty();
+    }
+
+    void add(long number, long offset, long deadlineMillis) {
+        tickets.add(new Ticket(number, ++lastSequence, offset, deadlineMillis, new HashSet<>()));
+    }
+
+    /** Starts an await at an endpoint for all tickets that it has not confirmed; empty when none is due. */
+    Optional<Await> nextAwait(EndpointId endpoint, long nowMillis) {
+        Member member = members.get(endpoint);
+        if (member.outstanding || member.left || nowMillis < member.retryMillis) {
+            return Optional.empty();
+        }
+        long offset = tickets.stream()
+                .filter(t -> !t.confirmedBy().contains(endpoint))
+                .mapToLong(Ticket::offset)
+                .max()
+                .orElse(-1);
+        if (offset < 0) {
+            return Optional.empty();
+        }
+        member.outstanding = true;
+        return Optional.of(new Await(endpoint, offset, lastSequence, member.attempts));
+    }
+
+    /** Takes an accepted await: it confirms the tickets that existed when it was sent, up to its offset. */
+    void reached(Await await) {
+        Member member = members.get(await.endpoint());
+        member.outstanding = false;
+        member.attempts = 0;
+        tickets.stream()
+                .filter(t -> t.sequence() <= await.sequence() && t.offset() <= await.offset())
+                .forEach(t -> t.confirmedBy().add(await.endpoint()));
+    }
+
+    /** Takes an await that the endpoint refused because it has accepted a higher term. */
+    void left(Await await) {
+        Member member = members.get(await.endpoint());
+        member.outstanding = false;
+        member.left = true;
+    }
+
+    /** Takes an await without a usable answer; the next attempt goes through the other home. */
+    void failed(Await await, long retryMillis) {
+        Member member = members.get(await.endpoint());
+        member.outstanding = false;
+        member.attempts++;
+        member.retryMillis = retryMillis;
+    }
+
+    /** Removes and returns the tickets that a majority has confirmed. */
+    List<Long> takeConfirmed() {
+        return take(tickets.stream()
+                .filter(t -> t.confirmedBy().size() >= database.majority())
+                .toList());
+    }
+
+    /** Removes and returns the tickets that are given up: past their deadline, or without a majority in the term. */
+    List<Long> takeFailed(long nowMillis) {
+        long remaining = members.values().stream().filter(m -> !m.left).count();
+        boolean hopeless = remaining < database.majority();
+        return take(tickets.stream()
+                .filter(t -> hopeless || nowMillis >= t.deadlineMillis())
+                .toList());
+    }
+
+    private List<Long> take(List<Ticket> taken) {
+        tickets.removeAll(taken);
+        return taken.stream().map(Ticket::number).toList();
+    }
+
+    /**
+     * An await in flight.
+     *
+     * @param endpoint the endpoint
+     * @param offset the offset waited for
+     * @param sequence the last ticket that existed when it was sent
+     * @param attempt failures in a row before it
+     */
+    record Await(EndpointId endpoint, long offset, long sequence, int attempt) {}
+
+    private record Ticket(long number, long sequence, long offset, long deadlineMillis, Set<EndpointId> confirmedBy) {}
+
+    private static final class Member {
+        private boolean outstanding;
+        private boolean left;
+        private int attempts;
+        private long retryMillis = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/MajorityCommitConfirmer.java
@@ -0,0 +1,139 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssopswitch.core.configuration.EndpointDeclaration;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.ControlRequest;
+import org.hyssopswitch.core.engine.DecisionSystem;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.session.EndpointTable;
+
+/**
+ * Confirms positions by awaiting them at the endpoints of the group, one await per endpoint at a time.
+ *
+ * <p>An endpoint confirms a ticket only by an await that was sent after the ticket was requested and that it accepted
+ * in the ticket's term. A majority of such answers proves that no promotion to a higher term had fenced a majority when
+ * the ticket was requested, and that every later promotion keeps the position.
+ */
+public final class MajorityCommitConfirmer implements CommitConfirmer, DecisionSystem {
+
+    private static final long AWAIT_TIMEOUT_MILLIS = 400;
+    private static final long RETRY_MILLIS = 30;
+    private static final long MAX_RETRY_MILLIS = 480;
+
+    private final ControlRouter router;
+    private final EndpointTable endpoints;
+    private final Map<Key, ConfirmationRound> rounds = new LinkedHashMap<>();
+    private final Map<Long, Resolution> resolutions = new LinkedHashMap<>();
+    private long lastInternalTicket;
+
+    /**
+     * Creates a confirmer.
+     *
+     * @param router makes the calls
+     * @param endpoints the declared endpoints
+     */
+    public MajorityCommitConfirmer(ControlRouter router, EndpointTable endpoints) {
+        this.router = router;
+        this.endpoints = endpoints;
+    }
+
+    @Override
+    public void confirm(
+            long ticket, EndpointId primary, LogPosition position, long deadlineMillis, long nowMillis, Outbox out) {
+        var database = endpoints.databaseOf(primary);
+        if (database.isEmpty()) {
+            resolve(ticket, false, nowMillis, out);
+            return;
+        }
+        Key key = new Key(primary, position.term());
+        ConfirmationRound round =
+                rounds.computeIfAbsent(key, k -> new ConfirmationRound(database.get(), position.term()));
+        round.add(ticket, position.offset(), deadlineMillis);
+        pump(round, nowMillis, out);
+    }
+
+    /** Confirms for a system of this VM, which gets the result in a callback instead of an action. */
+    void confirm(
+            EndpointId primary,
+            LogPosition position,
+            long deadlineMillis,
+            Resolution resolution,
+            long nowMillis,
+            Outbox out) {
+        long ticket = --lastInternalTicket;
+        resolutions.put(ticket, resolution);
+        confirm(ticket, primary, position, deadlineMillis, nowMillis, out);
+    }
+
+    @Override
+    public void tick(long nowMillis, Outbox out) {
+        for (ConfirmationRound round : List.copyOf(rounds.values())) {
+            settle(round, nowMillis, out);
+            pump(round, nowMillis, out);
+        }
+        rounds.values().removeIf(ConfirmationRound::isEmpty);
+    }
+
+    @Override
+    public void handle(Event event, long nowMillis, Outbox out) {
+        // answers arrive through the router
+    }
+
+    private void pump(ConfirmationRound round, long nowMillis, Outbox out) {
+        for (EndpointDeclaration endpoint : round.database().endpoints()) {
+            round.nextAwait(endpoint.id(), nowMillis).ifPresent(await -> {
+                ControlRequest request = new ControlRequest.AwaitPosition(round.term(), await.offset());
+                ControlCallback callback = (outcome, now, outbox) -> ended(round, await, outcome, now, outbox);
+                router.call(endpoint, request, AWAIT_TIMEOUT_MILLIS, await.attempt(), callback, nowMillis, out);
+            });
+        }
+    }
+
+    private void ended(
+            ConfirmationRound round,
+            ConfirmationRound.Await await,
+            ControlOutcome outcome,
+            long nowMillis,
+            Outbox out) {
+        if (outcome.hasLeft(round.term())) {
+            round.left(await);
+        } else if (outcome.isAccepted()) {
+            round.reached(await);
+        } else {
+            long delay = Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS << Math.min(await.attempt(), 4));
+            round.failed(await, nowMillis + delay);
+        }
+        settle(round, nowMillis, out);
+        pump(round, nowMillis, out);
+    }
+
+    private void settle(ConfirmationRound round, long nowMillis, Outbox out) {
+        round.takeConfirmed().forEach(ticket -> resolve(ticket, true, nowMillis, out));
+        round.takeFailed(nowMillis).forEach(ticket -> resolve(ticket, false, nowMillis, out));
+    }
+
+    private void resolve(long ticket, boolean confirmed, long nowMillis, Outbox out) {
+        Resolution resolution = resolutions.remove(ticket);
+        if (resolution == null) {
+            out.add(new Action.ResolveCommit(ticket, confirmed));
+        } else {
+            resolution.resolved(confirmed, nowMillis, out);
+        }
+    }
+
+    /** Takes the result of a confirmation that a system of this VM requested. */
+    @FunctionalInterface
+    interface Resolution {
+
+        /** Called exactly once. */
+        void resolved(boolean confirmed, long nowMillis, Outbox out);
+    }
+
+    private record Key(EndpointId primary, long term) {}
+}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MembershipSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MembershipSystem.java
@@ -40,6 +40,8 @@
     private long nextListMillis;
     private long nextGreetMillis;
     private boolean started;
+    private long digest;
+    private long digestVersion = -1;
 
     /**
      * Creates the system.
@@ -165,8 +167,8 @@
             return new CellViewReply(request.cell(), 0, List.of());
         }
         List<MemberUpdate> live = table.facts(MemberUpdate::isLive);
-        long digest = ownDigest();
-        return new CellViewReply(self.cell(), digest, digest == request.digest() ? List.of() : live);
+        long own = ownDigest();
+        return new CellViewReply(self.cell(), own, own == request.digest() ? List.of() : live);
     }
 
     private void takeList(Event.VmsListed listed, long now) {
@@ -225,7 +227,12 @@
     }
 
     private long ownDigest() {
-        return Math.max(1, table.facts(MemberUpdate::isLive).hashCode() & 0xffff_ffffL);
+        if (digestVersion != table.version()) {
+            digestVersion = table.version();
+            String text = table.facts(MemberUpdate::isLive).toString();
+            digest = Math.max(1, text.hashCode() & 0xffff_ffffL);
+        }
+        return digest;
     }
 
     private void takeView(VmAddress from, CellViewReply reply) {
