--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/key/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of authentication by keys. */
+package org.hyssopswitch.core.key;
--- /dev/null
+++ b/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/key/package-info.java
@@ -0,0 +1,2 @@
+/** Creation of keys for client accounts. */
+package org.hyssopswitch.settings.key;
--- /dev/null
+++ b/hyssopswitch-settings/src/test/java/org/hyssopswitch/settings/declaration/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the declarations of teams. */
+package org.hyssopswitch.settings.declaration;
--- /dev/null
+++ b/hyssopswitch-settings/src/test/java/org/hyssopswitch/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings of a VM. */
+package org.hyssopswitch.settings;
