--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/DefaultSuspicionPolicy.java
@@ -0,0 +1,83 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.List;
+import java.util.Optional;
+import org.hyssopswitch.core.configuration.DatabaseDeclaration;
+import org.hyssopswitch.core.position.EndpointRole;
+import org.hyssopswitch.core.position.EndpointStatus;
+
+/**
+ * Suspects a primary that a majority of its group has lost replication contact with.
+ *
+ * <p>Slow answers to statements or status calls never count: a replica counts only with its own, freshly reported
+ * contact age. While the primary still answers its home, the contact must have been lost for longer, because then
+ * replication alone may be disturbed. A primary that is silent itself counts as one of the majority when at least one
+ * replica has lost contact.
+ *
+ * <p>A promotion is due as well when a fence was left behind without a promotion, and when the primary is declared as
+ * leaving while the rest of the group is healthy.
+ */
+public final class DefaultSuspicionPolicy implements SuspicionPolicy {
+
+    private final FailoverSettings settings;
+
+    /**
+     * Creates a policy.
+     *
+     * @param settings times of the detection
+     */
+    public DefaultSuspicionPolicy(FailoverSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public boolean isDue(DatabaseDeclaration database, GroupTable table, long nowMillis) {
+        List<GroupRow> fresh = table.rows(database).stream()
+                .filter(r -> r.isFresh(nowMillis, settings.reportAgeMillis()))
+                .toList();
+        Optional<GroupRow> primary = table.primary(database);
+        return hasLostContact(database, fresh, primary, nowMillis)
+                || hasStuckFence(fresh, primary, nowMillis)
+                || isLeaving(database, fresh, primary);
+    }
+
+    private boolean hasLostContact(
+            DatabaseDeclaration database, List<GroupRow> fresh, Optional<GroupRow> primary, long nowMillis) {
+        boolean answering = primary.filter(p -> p.isFresh(nowMillis, settings.silentContactMillis()))
+                .isPresent();
+        long threshold = answering ? settings.answeringContactMillis() : settings.silentContactMillis();
+        long term = primary.map(p -> p.status().acceptedTerm()).orElse(0L);
+        long lost = fresh.stream()
+                .map(GroupRow::status)
+                .filter(s -> s.role() == EndpointRole.REPLICA && s.contactAgeMillis() >= threshold)
+                .filter(s -> s.acceptedTerm() >= term)
+                .count();
+        boolean silent = primary.filter(p -> p.silentMillis() >= settings.silentContactMillis())
+                .filter(p -> nowMillis - p.receivedMillis() <= settings.reportAgeMillis())
+                .isPresent();
+        return lost >= database.majority() || (silent && lost >= 1 && lost + 1 >= database.majority());
+    }
+
+    private boolean hasStuckFence(List<GroupRow> fresh, Optional<GroupRow> primary, long nowMillis) {
+        long term = primary.map(p -> p.status().acceptedTerm()).orElse(0L);
+        return fresh.stream()
+                .filter(r ->
+                        r.status().role() == EndpointRole.FENCED && r.status().acceptedTerm() > term)
+                .anyMatch(r -> nowMillis - r.roleSinceMillis() >= settings.stuckFenceMillis());
+    }
+
+    private static boolean isLeaving(DatabaseDeclaration database, List<GroupRow> fresh, Optional<GroupRow> primary) {
+        boolean leaving = primary.filter(p -> database.endpoints().stream()
+                        .anyMatch(e -> e.leaving() && e.id().equals(p.status().endpoint())))
+                .isPresent();
+        long successors = fresh.stream()
+                .map(GroupRow::status)
+                .filter(s -> s.role() == EndpointRole.REPLICA && isStaying(database, s))
+                .count();
+        return leaving && successors >= database.majority();
+    }
+
+    private static boolean isStaying(DatabaseDeclaration database, EndpointStatus status) {
+        return database.endpoints().stream().anyMatch(e -> !e.leaving() && e.id().equals(status.endpoint()));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/GroupMonitorSystem.java
@@ -0,0 +1,261 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.configuration.Configuration;
+import org.hyssopswitch.core.configuration.DatabaseDeclaration;
+import org.hyssopswitch.core.configuration.EndpointDeclaration;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.ControlRequest;
+import org.hyssopswitch.core.engine.DecisionSystem;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.membership.MembershipView;
+import org.hyssopswitch.core.placement.HomeResolver;
+import org.hyssopswitch.core.position.EndpointRole;
+import org.hyssopswitch.core.position.EndpointStatus;
+import org.hyssopswitch.core.session.EndpointHint;
+import org.hyssopswitch.core.session.EndpointTable;
+
+/**
+ * Polls the endpoints that this VM is the home of, tells the homes of their siblings, and makes an endpoint follow the
+ * primary of the highest known term.
+ *
+ * <p>Endpoints that nobody writes to are polled and reported less often; doubt about any of them restores the full
+ * rate.
+ */
+public final class GroupMonitorSystem implements DecisionSystem {
+
+    private static final long STATUS_TIMEOUT_MILLIS = 1_000;
+    private static final long FOLLOW_TIMEOUT_MILLIS = 1_000;
+    private static final long FOLLOW_PERIOD_MILLIS = 200;
+
+    private final MembershipView view;
+    private final HomeResolver homes;
+    private final EndpointTable endpoints;
+    private final GroupTable groups;
+    private final ControlRouter router;
+    private final FailoverSettings settings;
+    private final RandomGenerator random;
+    private final ToIntFunction<EndpointId> load;
+    private final Map<EndpointId, MonitoredEndpoint> monitored = new LinkedHashMap<>();
+    private final List<MonitoredEndpoint> ownCell = new ArrayList<>();
+    private final Set<EndpointId> siblings = new HashSet<>();
+    private long placedVersion = -1;
+
+    /**
+     * Creates the system.
+     *
+     * @param view the VMs
+     * @param homes finds the homes of endpoints
+     * @param endpoints takes the statuses for the choice of endpoints
+     * @param groups takes the reports about the groups of this VM
+     * @param router makes the control calls
+     * @param settings times
+     * @param random jitter
+     * @param load statements that run or wait at this VM for an endpoint
+     */
+    public GroupMonitorSystem(
+            MembershipView view,
+            HomeResolver homes,
+            EndpointTable endpoints,
+            GroupTable groups,
+            ControlRouter router,
+            FailoverSettings settings,
+            RandomGenerator random,
+            ToIntFunction<EndpointId> load) {
+        this.view = view;
+        this.homes = homes;
+        this.endpoints = endpoints;
+        this.groups = groups;
+        this.router = router;
+        this.settings = settings;
+        this.random = random;
+        this.load = load;
+    }
+
+    /** The groups in which this VM is the home of an endpoint. */
+    public List<DatabaseDeclaration> ownGroups() {
+        return monitored.values().stream()
+                .map(MonitoredEndpoint::database)
+                .distinct()
+                .toList();
+    }
+
+    /**
+     * Whether this VM is the home of an endpoint.
+     *
+     * @param endpoint the endpoint
+     */
+    public boolean isHomeOf(EndpointId endpoint) {
+        return monitored.containsKey(endpoint);
+    }
+
+    /**
+     * Takes a report as if it had just been measured, and passes it on to the other homes of the group.
+     *
+     * @param database the group
+     * @param status the endpoint's status
+     * @param nowMillis milliseconds of the monotonic clock
+     * @param out takes the actions to perform
+     */
+    public void announce(DatabaseDeclaration database, EndpointStatus status, long nowMillis, Outbox out) {
+        GroupReport report = new GroupReport(new EndpointHint(status, 0, 0), 0);
+        take(report, nowMillis);
+        Map<VmAddress, List<GroupReport>> batches = new LinkedHashMap<>();
+        address(database, report, batches);
+        send(batches, out);
+    }
+
+    @Override
+    public void configure(Configuration next, long nowMillis, Outbox out) {
+        endpoints.configure(next);
+        ownCell.clear();
+        for (DatabaseDeclaration database : next.databases().values()) {
+            database.endpoints().stream()
+                    .filter(e -> e.cell().equals(view.self().cell()))
+                    .forEach(e -> ownCell.add(new MonitoredEndpoint(e, database, nowMillis)));
+        }
+        placedVersion = -1;
+    }
+
+    @Override
+    public void tick(long nowMillis, Outbox out) {
+        if (placedVersion != view.version()) {
+            placedVersion = view.version();
+            place();
+        }
+        Map<VmAddress, List<GroupReport>> batches = new LinkedHashMap<>();
+        for (MonitoredEndpoint row : monitored.values()) {
+            if (row.isPollDue(nowMillis)) {
+                poll(row, nowMillis, out);
+            }
+            if (row.isReportDue(nowMillis, interval(row, nowMillis))) {
+                report(row, nowMillis, batches);
+            }
+        }
+        send(batches, out);
+    }
+
+    @Override
+    public void handle(Event event, long nowMillis, Outbox out) {
+        if (event instanceof Event.MessageReceived received && received.message() instanceof GroupReports reports) {
+            reports.reports().stream()
+                    .filter(r -> siblings.contains(r.hint().status().endpoint()))
+                    .forEach(r -> takeRemote(r, nowMillis));
+        }
+    }
+
+    /** Takes a report of another home; a primary that was not known makes the siblings be polled at once. */
+    private void takeRemote(GroupReport report, long nowMillis) {
+        EndpointStatus status = report.hint().status();
+        boolean known =
+                groups.row(status.endpoint()).filter(r -> r.sameRole(status)).isPresent();
+        take(report, nowMillis);
+        if (!known && status.role() == EndpointRole.PRIMARY) {
+            monitored.values().stream()
+                    .filter(m -> m.database().endpoints().stream().anyMatch(e -> e.id().equals(status.endpoint())))
+                    .forEach(m -> m.pollAgainAt(nowMillis));
+        }
+    }
+
+    private void place() {
+        Set<EndpointId> own = new HashSet<>();
+        siblings.clear();
+        for (MonitoredEndpoint row : ownCell) {
+            EndpointDeclaration endpoint = row.endpoint();
+            if (homes.homes(endpoint).stream()
+                    .findFirst()
+                    .filter(view.self()::equals)
+                    .isPresent()) {
+                own.add(endpoint.id());
+                row.database().endpoints().forEach(e -> siblings.add(e.id()));
+                monitored.merge(endpoint.id(), row, MonitoredEndpoint::redeclared);
+            }
+        }
+        monitored.keySet().retainAll(own);
+        groups.retain(siblings);
+    }
+
+    private void poll(MonitoredEndpoint row, long nowMillis, Outbox out) {
+        row.polled(nowMillis);
+        ControlCallback callback = (outcome, now, outbox) -> polled(row, outcome, now, outbox);
+        router.call(row.endpoint(), new ControlRequest.Status(), STATUS_TIMEOUT_MILLIS, 0, callback, nowMillis, out);
+    }
+
+    private void polled(MonitoredEndpoint row, ControlOutcome outcome, long nowMillis, Outbox out) {
+        row.answered(outcome.status(), nowMillis, settings.doubtMillis());
+        row.pollAgainAt(nowMillis + jittered(interval(row, nowMillis)));
+        if (outcome.status().isPresent()) {
+            follow(row, outcome.status().get(), nowMillis, out);
+        }
+    }
+
+    private void report(MonitoredEndpoint row, long nowMillis, Map<VmAddress, List<GroupReport>> batches) {
+        row.report(nowMillis, load.applyAsInt(row.endpoint().id())).ifPresent(report -> {
+            take(report, nowMillis);
+            address(row.database(), report, batches);
+        });
+    }
+
+    private void address(DatabaseDeclaration database, GroupReport report, Map<VmAddress, List<GroupReport>> batches) {
+        Set<VmAddress> targets = new HashSet<>();
+        for (EndpointDeclaration sibling : database.endpoints()) {
+            homes.homes(sibling).stream().findFirst().ifPresent(targets::add);
+        }
+        targets.remove(view.self());
+        targets.forEach(t -> batches.computeIfAbsent(t, v -> new ArrayList<>()).add(report));
+    }
+
+    private static void send(Map<VmAddress, List<GroupReport>> batches, Outbox out) {
+        batches.forEach((to, reports) -> out.add(new Action.SendMessage(to, new GroupReports(reports))));
+    }
+
+    private void take(GroupReport report, long nowMillis) {
+        groups.take(report, nowMillis);
+        endpoints.observe(report.hint(), nowMillis);
+    }
+
+    /** Makes the endpoint follow when a primary of a higher term, or of the term it was fenced at, is known. */
+    private void follow(MonitoredEndpoint row, EndpointStatus status, long nowMillis, Outbox out) {
+        Optional<EndpointStatus> primary = groups.primary(row.database()).map(GroupRow::status);
+        if (primary.isEmpty() || primary.get().endpoint().equals(status.endpoint())) {
+            return;
+        }
+        long term = primary.get().acceptedTerm();
+        boolean behind =
+                status.acceptedTerm() < term || (status.acceptedTerm() == term && status.role() == EndpointRole.FENCED);
+        if (behind && row.mayFollow(nowMillis, FOLLOW_PERIOD_MILLIS)) {
+            ControlRequest request =
+                    new ControlRequest.Follow(term, primary.get().endpoint());
+            ControlCallback callback = (outcome, now, outbox) -> row.pollAgainAt(now);
+            router.call(row.endpoint(), request, FOLLOW_TIMEOUT_MILLIS, 0, callback, nowMillis, out);
+        }
+    }
+
+    /** The time between polls and reports: short while the group is written to or any report of it gives doubt. */
+    private long interval(MonitoredEndpoint row, long nowMillis) {
+        boolean doubt = groups.rows(row.database()).stream().anyMatch(r -> isDoubtful(r, nowMillis));
+        return doubt || row.isActive(nowMillis) ? settings.activePollMillis() : settings.idlePollMillis();
+    }
+
+    private boolean isDoubtful(GroupRow row, long nowMillis) {
+        return row.silentMillis() > 0
+                || row.status().role() == EndpointRole.FENCED
+                || row.status().contactAgeMillis() >= settings.doubtMillis()
+                || nowMillis - row.receivedMillis() > settings.idlePollMillis() + settings.doubtMillis();
+    }
+
+    private long jittered(long millis) {
+        return millis * 3 / 4 + random.nextLong(Math.max(1, millis / 2));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/GroupReports.java
@@ -0,0 +1,17 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.List;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Reports about endpoints of the sender for a VM that is home to siblings of them.
+ *
+ * @param reports the reports
+ */
+public record GroupReports(List<GroupReport> reports) implements PeerMessage {
+
+    /** Copies the list. */
+    public GroupReports {
+        reports = List.copyOf(reports);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionAttempt.java
@@ -0,0 +1,168 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopswitch.core.configuration.DatabaseDeclaration;
+import org.hyssopswitch.core.configuration.EndpointDeclaration;
+import org.hyssopswitch.core.engine.ControlRequest;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.EndpointStatus;
+
+/**
+ * One attempt to promote an endpoint of a group in one term: fences a majority, then promotes the most advanced
+ * endpoint of that majority.
+ *
+ * <p>Once an endpoint has been chosen the attempt never chooses another one, so that a term has one primary at most.
+ */
+final class PromotionAttempt {
+
+    /** How the attempt stands. */
+    enum State {
+        /** Waits for a majority of fences. */
+        FENCING,
+        /** Waits for the promoted endpoint to confirm. */
+        PROMOTING,
+        /** The endpoint is primary. */
+        DONE,
+        /** A higher term competes or the time is over. */
+        FAILED
+    }
+
+    private static final long CALL_TIMEOUT_MILLIS = 400;
+    private static final long RETRY_MILLIS = 50;
+
+    private final DatabaseDeclaration database;
+    private final long term;
+    private final String orderer;
+    private final long deadlineMillis;
+    private final ControlRouter router;
+    private final Map<EndpointId, EndpointStatus> fenced = new HashMap<>();
+    private final Map<EndpointId, Call> calls = new HashMap<>();
+    private State state = State.FENCING;
+    private long highestTerm;
+    private Optional<EndpointStatus> chosen = Optional.empty();
+
+    PromotionAttempt(
+            DatabaseDeclaration database, long term, String orderer, long deadlineMillis, ControlRouter router) {
+        this.database = database;
+        this.term = term;
+        this.orderer = orderer;
+        this.deadlineMillis = deadlineMillis;
+        this.router = router;
+        this.highestTerm = term;
+        database.endpoints().forEach(e -> calls.put(e.id(), new Call()));
+    }
+
+    State state() {
+        return state;
+    }
+
+    long term() {
+        return term;
+    }
+
+    /** The highest term seen in answers. */
+    long highestTerm() {
+        return highestTerm;
+    }
+
+    /** The status of the promoted endpoint, once it has confirmed. */
+    Optional<EndpointStatus> promoted() {
+        return state == State.DONE ? chosen : Optional.empty();
+    }
+
+    /** Makes the calls that are due. */
+    void step(long nowMillis, Outbox out) {
+        if (nowMillis >= deadlineMillis && state != State.DONE) {
+            state = State.FAILED;
+        }
+        if (state == State.FENCING) {
+            database.endpoints().stream()
+                    .filter(e -> !fenced.containsKey(e.id()))
+                    .forEach(e -> call(e, new ControlRequest.Fence(term, orderer), nowMillis, out));
+        } else if (state == State.PROMOTING) {
+            EndpointId target = chosen.orElseThrow().endpoint();
+            database.endpoints().stream()
+                    .filter(e -> e.id().equals(target))
+                    .forEach(e -> call(e, new ControlRequest.Promote(term, orderer), nowMillis, out));
+        }
+    }
+
+    private void call(EndpointDeclaration endpoint, ControlRequest request, long nowMillis, Outbox out) {
+        Call call = calls.get(endpoint.id());
+        if (state == State.FAILED || call.outstanding || nowMillis < call.retryMillis) {
+            return;
+        }
+        call.outstanding = true;
+        ControlCallback callback = (outcome, now, outbox) -> {
+            call.ended(outcome, now);
+            ended(endpoint.id(), request, outcome, now, outbox);
+        };
+        router.call(endpoint, request, CALL_TIMEOUT_MILLIS, call.attempts, callback, nowMillis, out);
+    }
+
+    private void ended(
+            EndpointId endpoint, ControlRequest request, ControlOutcome outcome, long nowMillis, Outbox out) {
+        outcome.status().ifPresent(s -> highestTerm = Math.max(highestTerm, s.acceptedTerm()));
+        if (outcome.result() == ControlResult.REFUSED && concerns(request)) {
+            // another orderer uses this term or a higher one
+            state = State.FAILED;
+        } else if (outcome.isAccepted() && concerns(request) && state == State.FENCING) {
+            fenced.put(endpoint, outcome.status().orElseThrow());
+            choose();
+        } else if (outcome.isAccepted() && concerns(request)) {
+            chosen = outcome.status();
+            state = State.DONE;
+        }
+        step(nowMillis, out);
+    }
+
+    /** Whether the outcome of a request still matters; a late fence does not once a majority is fenced. */
+    private boolean concerns(ControlRequest request) {
+        return state == (request instanceof ControlRequest.Fence ? State.FENCING : State.PROMOTING);
+    }
+
+    private void choose() {
+        if (fenced.size() < database.majority()) {
+            return;
+        }
+        List<EndpointId> leaving = database.endpoints().stream()
+                .filter(EndpointDeclaration::leaving)
+                .map(EndpointDeclaration::id)
+                .toList();
+        List<EndpointStatus> staying = fenced.values().stream()
+                .filter(s -> !leaving.contains(s.endpoint()))
+                .toList();
+        // any majority holds every acknowledged write, also one without the leaving endpoints
+        boolean enough = staying.size() >= database.majority();
+        if (!enough && fenced.size() < database.endpoints().size() && !leaving.isEmpty() && mayFenceMore()) {
+            return;
+        }
+        chosen = (enough ? staying : List.copyOf(fenced.values()))
+                .stream().max(Comparator.comparing(EndpointStatus::applied).thenComparing(EndpointStatus::endpoint));
+        state = State.PROMOTING;
+    }
+
+    private boolean mayFenceMore() {
+        return database.endpoints().stream()
+                .anyMatch(e -> !fenced.containsKey(e.id()) && calls.get(e.id()).attempts == 0);
+    }
+
+    private static final class Call {
+        private boolean outstanding;
+        private int attempts;
+        private long retryMillis = Long.MIN_VALUE;
+
+        private void ended(ControlOutcome outcome, long nowMillis) {
+            outstanding = false;
+            if (!outcome.isAccepted()) {
+                attempts++;
+                retryMillis = nowMillis + RETRY_MILLIS;
+            }
+        }
+    }
+}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/EndpointTable.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/EndpointTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -59,6 +60,18 @@
         return new TreeSet<>(usedMillis.keySet());
     }
 
+    /**
+     * The declared endpoints of a database; empty when the database is not declared.
+     *
+     * @param database the database
+     */
+    public List<EndpointDeclaration> declaredEndpoints(DatabaseId database) {
+        return configuration
+                .database(database)
+                .map(DatabaseDeclaration::endpoints)
+                .orElse(List.of());
+    }
+
     /**
      * Finds the declaration of the database that an endpoint belongs to.
      *
