--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failure/Refusal.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failure/Refusal.java
@@ -305,4 +305,66 @@
             return "the configuration was last confirmed " + ageMillis + " ms ago";
         }
     }
+
+    /**
+     * The caller names a prepared statement that its session has not prepared.
+     *
+     * @param statement the name as given by the caller
+     */
+    record StatementUnknown(String statement) implements Refusal {
+        @Override
+        public String sqlState() {
+            return "26000";
+        }
+
+        @Override
+        public Execution execution() {
+            return Execution.NOT_RUN;
+        }
+
+        @Override
+        public String describe() {
+            return "prepared statement '" + statement + "' does not exist";
+        }
+    }
+
+    /**
+     * The caller uses a part of the protocol that is not supported.
+     *
+     * @param feature the part
+     */
+    record FeatureUnsupported(String feature) implements Refusal {
+        @Override
+        public String sqlState() {
+            return "0A000";
+        }
+
+        @Override
+        public Execution execution() {
+            return Execution.NOT_RUN;
+        }
+
+        @Override
+        public String describe() {
+            return feature + " is not supported";
+        }
+    }
+
+    /** The caller cancelled the statement before it ran. */
+    record Cancelled() implements Refusal {
+        @Override
+        public String sqlState() {
+            return "57014";
+        }
+
+        @Override
+        public Execution execution() {
+            return Execution.NOT_RUN;
+        }
+
+        @Override
+        public String describe() {
+            return "the statement was cancelled before it ran";
+        }
+    }
 }
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryContext.java
@@ -0,0 +1,32 @@
+package org.hyssopswitch.proxy.entry;
+
+import java.security.SecureRandom;
+import org.hyssopswitch.core.configuration.Configuration;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/**
+ * What all sessions of an entry share.
+ *
+ * @param loop the decision thread
+ * @param collaborators what the entry needs of the rest of its VM
+ * @param forwarder streams to homes
+ * @param metrics counters
+ * @param confirmed positions confirmed of late, by database
+ * @param secrets source of secrets and nonces
+ */
+record EntryContext(
+        DecisionLoop loop,
+        EntryCollaborators collaborators,
+        Forwarder forwarder,
+        EntryMetrics metrics,
+        ConfirmedPositions confirmed,
+        SecureRandom secrets) {
+
+    Configuration configuration() {
+        return collaborators.configuration().get();
+    }
+
+    long nowMillis() {
+        return loop.nowMillis();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/ScramExchange.java
@@ -0,0 +1,136 @@
+package org.hyssopswitch.proxy.entry;
+
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Base64;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.hyssopswitch.core.configuration.KeyVerifier;
+import org.hyssopswitch.core.failure.HyssopException;
+
+/**
+ * The server's side of one SCRAM-SHA-256 exchange (RFC 5802, RFC 7677), without channel binding.
+ *
+ * <p>The caller's key never arrives here: only a proof that the caller has it.
+ */
+final class ScramExchange {
+
+    private static final String HMAC = "HmacSHA256";
+
+    private final KeyVerifier verifier;
+    private final String serverNonce;
+    private String clientFirstBare = "";
+    private String gs2Header = "";
+    private String serverFirst = "";
+    private String nonce = "";
+
+    /**
+     * Starts an exchange.
+     *
+     * @param verifier the stored form of the key
+     * @param serverNonce random printable characters without commas
+     */
+    ScramExchange(KeyVerifier verifier, String serverNonce) {
+        this.verifier = verifier;
+        this.serverNonce = serverNonce;
+    }
+
+    /**
+     * Takes the client's first message.
+     *
+     * @param message the message
+     * @return the server's first message, or nothing when the message is not acceptable
+     */
+    Option<String> first(String message) {
+        String[] parts = message.split(",", 3);
+        // Flag "p" demands channel binding, which is not offered.
+        if (parts.length < 3 || !(parts[0].equals("n") || parts[0].equals("y"))) {
+            return Option.none();
+        }
+        gs2Header = parts[0] + "," + parts[1] + ",";
+        clientFirstBare = parts[2];
+        Option<String> clientNonce = attribute(clientFirstBare, 'r').filter(n -> !n.isEmpty());
+        return clientNonce.map(n -> {
+            nonce = n + serverNonce;
+            serverFirst = "r=" + nonce + ",s=" + verifier.salt() + ",i=" + verifier.iterations();
+            return serverFirst;
+        });
+    }
+
+    /**
+     * Takes the client's final message.
+     *
+     * @param message the message
+     * @return the server's final message, or nothing when the client does not have the key
+     */
+    Option<String> last(String message) {
+        int proofAt = message.lastIndexOf(",p=");
+        if (proofAt < 0 || serverFirst.isEmpty()) {
+            return Option.none();
+        }
+        String withoutProof = message.substring(0, proofAt);
+        String binding = Base64.getEncoder().encodeToString(gs2Header.getBytes(StandardCharsets.UTF_8));
+        if (!attribute(withoutProof, 'c').contains(binding)
+                || !attribute(withoutProof, 'r').contains(nonce)) {
+            return Option.none();
+        }
+        String authMessage = clientFirstBare + "," + serverFirst + "," + withoutProof;
+        return decode(message.substring(proofAt + 3))
+                .filter(proof -> isValid(proof, authMessage))
+                .map(proof -> "v=" + Base64.getEncoder().encodeToString(serverSignature(authMessage)));
+    }
+
+    private boolean isValid(byte[] proof, String authMessage) {
+        byte[] storedKey = Base64.getDecoder().decode(verifier.storedKey());
+        byte[] signature = hmac(storedKey, authMessage);
+        if (proof.length != signature.length) {
+            return false;
+        }
+        byte[] clientKey = new byte[proof.length];
+        for (int i = 0; i < proof.length; i++) {
+            clientKey[i] = (byte) (proof[i] ^ signature[i]);
+        }
+        return MessageDigest.isEqual(sha256(clientKey), storedKey);
+    }
+
+    private byte[] serverSignature(String authMessage) {
+        return hmac(Base64.getDecoder().decode(verifier.serverKey()), authMessage);
+    }
+
+    private static Option<byte[]> decode(String base64) {
+        try {
+            return Option.some(Base64.getDecoder().decode(base64));
+        } catch (IllegalArgumentException e) {
+            return Option.none();
+        }
+    }
+
+    private static Option<String> attribute(String message, char name) {
+        for (String part : message.split(",")) {
+            if (part.startsWith(name + "=")) {
+                return Option.some(part.substring(2));
+            }
+        }
+        return Option.none();
+    }
+
+    private static byte[] hmac(byte[] key, String text) {
+        try {
+            Mac mac = Mac.getInstance(HMAC);
+            mac.init(new SecretKeySpec(key, HMAC));
+            return mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
+        } catch (GeneralSecurityException e) {
+            throw new HyssopException("HmacSHA256 is not available", e);
+        }
+    }
+
+    private static byte[] sha256(byte[] bytes) {
+        try {
+            return MessageDigest.getInstance("SHA-256").digest(bytes);
+        } catch (GeneralSecurityException e) {
+            throw new HyssopException("SHA-256 is not available", e);
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/SessionIdentity.java
@@ -0,0 +1,51 @@
+package org.hyssopswitch.proxy.entry;
+
+import io.vavr.control.Option;
+import org.hyssopswitch.core.configuration.AccountDeclaration;
+import org.hyssopswitch.core.configuration.Configuration;
+import org.hyssopswitch.core.configuration.KeyVerifier;
+import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DatabaseId;
+
+/**
+ * Who a session belongs to.
+ *
+ * @param account the client account
+ * @param key the key that the caller proved to have; nothing for callers of open routes
+ */
+record SessionIdentity(ClientAccountId account, Option<KeyVerifier> key) {
+
+    /** The user of callers without a key. */
+    static final ClientAccountId OPEN = new ClientAccountId("open");
+
+    /** Stands for callers that have not logged in, in metrics. */
+    static final ClientAccountId NOBODY = new ClientAccountId("nobody");
+
+    boolean keyed() {
+        return key.isDefined();
+    }
+
+    /**
+     * Checks the identity against the configuration in force.
+     *
+     * @param configuration the configuration in force
+     * @param database the database of the session
+     * @return the refusal, or nothing when the session may go on
+     */
+    Option<Refusal> check(Configuration configuration, DatabaseId database) {
+        if (configuration.database(database).isEmpty()) {
+            return Option.some(new Refusal.DatabaseUnknown(database.value()));
+        }
+        if (!keyed()) {
+            return Option.none();
+        }
+        Option<AccountDeclaration> declared = Option.ofOptional(configuration.account(account));
+        if (!declared.exists(a -> a.keys().contains(key.get()))) {
+            return Option.some(new Refusal.KeyWithdrawn(account));
+        }
+        return declared.get().databases().contains(database)
+                ? Option.none()
+                : Option.some(new Refusal.DatabaseUnknown(database.value()));
+    }
+}
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/forward/AnswerEnd.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/forward/AnswerEnd.java
@@ -1,7 +1,6 @@
 package org.hyssopswitch.proxy.forward;
 
 import org.hyssopswitch.core.message.PeerMessage;
-import org.hyssopswitch.core.position.LogPosition;
 
 /**
  * The end of an answer.
@@ -11,7 +10,7 @@
  * @param sequence number of the cycle
  * @param state how the cycle ended
  * @param transaction transaction status of the endpoint connection; the stream stays open unless it is idle
- * @param confirmed position that a majority confirmed; zero for none
+ * @param confirmed what a majority confirmed
  * @param retryAfterMillis milliseconds after which a repeat is worth while; 0 for no advice
  * @param reason why the cycle failed; empty when it is complete
  * @param frames the last frames without ReadyForQuery, encoded
@@ -22,7 +21,7 @@
         int sequence,
         AnswerState state,
         TransactionState transaction,
-        LogPosition confirmed,
+        Confirmation confirmed,
         long retryAfterMillis,
         String reason,
         byte[] frames)
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
@@ -17,6 +17,7 @@
 import org.hyssopswitch.core.position.EndpointStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.proxy.forward.AnswerState;
+import org.hyssopswitch.proxy.forward.Confirmation;
 import org.hyssopswitch.proxy.forward.ContinueCycle;
 import org.hyssopswitch.proxy.forward.ExecuteCycle;
 import org.hyssopswitch.proxy.forward.TransactionState;
@@ -199,9 +200,12 @@
         if (transaction == TransactionState.IDLE && stream.cycle().sequence() == 1 && run.refusedAsReplica()) {
             refuse(stream, AnswerState.NOT_RUN, 0, "the endpoint is not the primary");
         } else if (position.isEmpty()) {
-            answer(stream, transaction, LogPosition.ZERO);
+            answer(stream, transaction, Confirmation.NONE);
         } else {
-            confirm(stream, transaction, position.get());
+            confirm(
+                    stream,
+                    transaction,
+                    new Confirmation(position.get(), run.commit().isDefined()));
         }
         pump();
     }
@@ -374,26 +378,28 @@
                 : s);
     }
 
-    private void confirm(HomeStream stream, TransactionState transaction, LogPosition position) {
+    private void confirm(HomeStream stream, TransactionState transaction, Confirmation confirmation) {
         stream.enter(Phase.CONFIRMING);
         long now = context.loop().nowMillis();
-        long ticket = confirmations.open(confirmed -> confirmed(stream, transaction, position, confirmed));
-        context.confirmer().confirm(ticket, endpoint.id(), position, now + CONFIRM_MILLIS, now, context.actions());
+        long ticket = confirmations.open(confirmed -> confirmed(stream, transaction, confirmation, confirmed));
+        context.confirmer()
+                .confirm(ticket, endpoint.id(), confirmation.position(), now + CONFIRM_MILLIS, now, context.actions());
     }
 
-    private void confirmed(HomeStream stream, TransactionState transaction, LogPosition position, boolean confirmed) {
+    private void confirmed(
+            HomeStream stream, TransactionState transaction, Confirmation confirmation, boolean confirmed) {
         if (stream.phase() != Phase.CONFIRMING) {
             return;
         }
         if (confirmed) {
-            answer(stream, transaction, position);
+            answer(stream, transaction, confirmation);
             return;
         }
         refuse(stream, AnswerState.UNKNOWN, 0, "no majority of the group confirmed the position");
     }
 
-    private void answer(HomeStream stream, TransactionState transaction, LogPosition position) {
-        stream.complete(transaction, position);
+    private void answer(HomeStream stream, TransactionState transaction, Confirmation confirmation) {
+        stream.complete(transaction, confirmation);
         if (transaction == TransactionState.IDLE) {
             stream.enter(Phase.CLOSED);
             streams.remove(stream.key());
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
@@ -3,10 +3,10 @@
 import io.vavr.control.Option;
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
-import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.proxy.forward.AnswerData;
 import org.hyssopswitch.proxy.forward.AnswerEnd;
 import org.hyssopswitch.proxy.forward.AnswerState;
+import org.hyssopswitch.proxy.forward.Confirmation;
 import org.hyssopswitch.proxy.forward.ContinueCycle;
 import org.hyssopswitch.proxy.forward.CycleFacts;
 import org.hyssopswitch.proxy.forward.ExecuteCycle;
@@ -112,14 +112,14 @@
     }
 
     /** Answers the cycle with what is buffered. */
-    void complete(TransactionState transaction, LogPosition confirmed) {
+    void complete(TransactionState transaction, Confirmation confirmed) {
         end(AnswerState.COMPLETE, transaction, confirmed, 0, "");
     }
 
     /** Answers the cycle with a failure; what is buffered is dropped. */
     void fail(AnswerState state, long retryAfterMillis, String reason) {
         out.reset();
-        end(state, TransactionState.IDLE, LogPosition.ZERO, retryAfterMillis, reason);
+        end(state, TransactionState.IDLE, Confirmation.NONE, retryAfterMillis, reason);
     }
 
     private boolean mayRead() {
@@ -127,7 +127,7 @@
     }
 
     private void end(
-            AnswerState state, TransactionState transaction, LogPosition confirmed, long retryAfter, String reason) {
+            AnswerState state, TransactionState transaction, Confirmation confirmed, long retryAfter, String reason) {
         replies.send(
                 key.entry(),
                 new AnswerEnd(
