--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -129,7 +129,7 @@
             case OVERLOADED ->
                 failWith(new Refusal.Overloaded(session.identity().account(), end.retryAfterMillis()));
             case CANCELLED -> failWith(new Refusal.Cancelled());
-            case UNKNOWN -> unknown(end.reason());
+            default -> unknown(end.reason());
         }
     }
 
