--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
@@ -25,6 +25,7 @@
     private final EndpointRuntime runtime;
     private final boolean reader;
     private final SessionTransaction transaction;
+    private final Map<String, String> startupParameters;
     private final Map<String, String> parameters;
     private Optional<Running> running = Optional.empty();
 
@@ -33,6 +34,7 @@
         this.runtime = runtime;
         this.reader = reader;
         this.transaction = transaction;
+        this.startupParameters = Map.copyOf(parameters);
         this.parameters = new HashMap<>(parameters);
     }
 
@@ -102,6 +104,8 @@
         }
         if (statement instanceof Statement.Discard discard) {
             transaction.setReadOnly(false);
+            parameters.clear();
+            parameters.putAll(startupParameters);
             return QueryResult.tag(discard.tag());
         }
         return QueryResult.tag("");
