--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerLogin.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerLogin.java
@@ -1,7 +1,6 @@
 package org.hyssopswitch.proxy.entry;
 
 import io.vavr.control.Option;
-import io.vavr.control.Try;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
@@ -11,6 +10,8 @@
 import org.hyssopswitch.core.configuration.KeyVerifier;
 import org.hyssopswitch.core.identity.ClientAccountId;
 import org.hyssopswitch.core.identity.KeyId;
+import org.hyssopswitch.core.key.CallerName;
+import org.hyssopswitch.core.key.ScramUtils;
 import org.hyssopswitch.proxy.net.FrameChannel;
 import org.hyssopswitch.wire.BackendFrames;
 import org.hyssopswitch.wire.BodyReader;
@@ -50,14 +51,15 @@
         this.context = context;
         this.channel = channel;
         this.done = done;
-        int slash = user.indexOf('/');
-        String name = slash < 0 ? user : user.substring(0, slash);
-        this.account = Try.of(() -> new ClientAccountId(name)).toOption();
+        Option<CallerName> name = CallerName.parse(user);
+        this.account = name.map(CallerName::account);
         List<KeyVerifier> all = account.flatMap(
                         a -> Option.ofOptional(context.configuration().account(a)))
                 .map(AccountDeclaration::keys)
                 .getOrElse(List.of());
-        this.keys = slash < 0 ? all : named(all, user.substring(slash + 1));
+        this.keys = all.stream()
+                .filter(k -> name.get().key().map(k.id()::equals).orElse(true))
+                .toList();
         // SCRAM must name one key before it learns which one the caller has.
         this.cleartext = keys.size() > 1 && channel.confidential();
     }
@@ -83,11 +85,6 @@
         }
     }
 
-    private static List<KeyVerifier> named(List<KeyVerifier> all, String name) {
-        Option<KeyId> id = Try.of(() -> new KeyId(name)).toOption();
-        return all.stream().filter(k -> id.contains(k.id())).toList();
-    }
-
     private void first(BodyReader body) {
         firstTaken = true;
         String mechanism = body.readString();
@@ -118,7 +115,7 @@
     private void password(String key) {
         channel.pause();
         CompletableFuture<Void> unused = CompletableFuture.supplyAsync(() -> Option.ofOptional(
-                        keys.stream().filter(k -> KeyCheck.matches(k, key)).findFirst()))
+                        keys.stream().filter(k -> ScramUtils.verify(key, k)).findFirst()))
                 .exceptionally(e -> Option.none())
                 .thenAcceptAsync(
                         found -> {
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
@@ -80,6 +80,13 @@
         return floor;
     }
 
+    /** Takes the floor that was found for a session without a token. */
+    void floorFound(LogPosition found) {
+        if (floor.isEmpty()) {
+            floor = Option.some(found);
+        }
+    }
+
     /** The stream of the open transaction. */
     Option<EntryStream> pinned() {
         return pinned;
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -148,7 +148,7 @@
         Option<Refusal> refusal =
                 context.collaborators().limiter().tryAcquire(session.identity().account(), now);
         if (refusal.isEmpty()) {
-            attempt();
+            findFloor();
         } else if (pinned && !deadline.passed(now)) {
             context.loop().schedule(Math.max(1, refusal.get().retryAfterMillis()), this::admit);
         } else if (pinned) {
@@ -158,6 +158,23 @@
         }
     }
 
+    /** A read of data of some age must know what its session has seen; other statements go to the primary anyway. */
+    private void findFloor() {
+        boolean needed = !pinned && route.read() && route.maxAgeMillis() > 0;
+        if (!needed || session.floor().isDefined()) {
+            attempt();
+            return;
+        }
+        context.floors().request(session.database(), deadline.atMillis(), found -> {
+            found.forEach(session::floorFound);
+            if (found.isDefined()) {
+                attempt();
+            } else if (!ended) {
+                refuse(new Refusal.EndpointUnavailable(session.database(), 1_000));
+            }
+        });
+    }
+
     private void attempt() {
         if (ended) {
             return;
@@ -176,7 +193,7 @@
         }
         Selection selection = context.collaborators()
                 .selector()
-                .select(new SelectionRequest(effectiveRoute(), floor(), tried, arrivedMillis), now);
+                .select(new SelectionRequest(route, floor(), tried, arrivedMillis), now);
         if (selection instanceof Selection.Use use) {
             use(use);
         } else if (selection instanceof Selection.Wait wait) {
@@ -227,13 +244,12 @@
     }
 
     private CycleFacts facts(EndpointId endpoint) {
-        RouteDeclaration effective = effectiveRoute();
         return new CycleFacts(
                 session.identity().account(),
                 session.database(),
                 endpoint,
-                effective.read(),
-                primary && effective.maxAgeMillis() == 0,
+                route.read(),
+                primary && route.maxAgeMillis() == 0,
                 floor(),
                 deadline.remainingMillis(context.nowMillis()));
     }
@@ -242,14 +258,6 @@
         return session.floor().getOrElse(LogPosition.ZERO);
     }
 
-    /** A session whose floor is not known yet must read the latest. */
-    private RouteDeclaration effectiveRoute() {
-        if (session.floor().isDefined()) {
-            return route;
-        }
-        return new RouteDeclaration(route.id(), route.database(), route.read(), 0, route.repeatable(), route.open());
-    }
-
     private List<VmAddress> homes(EndpointId endpoint) {
         return Option.ofOptional(context.configuration().database(session.database()))
                 .flatMap(d -> Option.ofOptional(d.endpoints().stream()
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryCollaborators.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryCollaborators.java
@@ -20,6 +20,7 @@
  * @param freshness the refusal while the configuration is too old for keys to be trusted
  * @param limiter admits statements
  * @param selector chooses endpoints
+ * @param floors finds the floors of sessions without a token
  * @param resolver finds the homes of endpoints
  * @param retries decides on retries
  * @param sender sends messages to homes
@@ -30,6 +31,7 @@
         Supplier<Option<Refusal>> freshness,
         RateLimiter limiter,
         EndpointSelector selector,
+        FloorSource floors,
         HomeResolver resolver,
         RetryPolicy retries,
         BiConsumer<VmAddress, PeerMessage> sender,
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryContext.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryContext.java
@@ -12,6 +12,7 @@
  * @param forwarder streams to homes
  * @param metrics counters
  * @param confirmed positions confirmed of late, by database
+ * @param floors floors of sessions without a token
  * @param secrets source of secrets and nonces
  */
 record EntryContext(
@@ -20,6 +21,7 @@
         Forwarder forwarder,
         EntryMetrics metrics,
         ConfirmedPositions confirmed,
+        FloorRequests floors,
         SecureRandom secrets) {
 
     Configuration configuration() {
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
@@ -1,8 +1,10 @@
 package org.hyssopswitch.proxy.entry;
 
+import io.vavr.control.Option;
 import java.security.SecureRandom;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 import org.hyssopswitch.proxy.net.FrameChannel;
 import org.hyssopswitch.proxy.net.FrameListener;
@@ -28,6 +30,7 @@
                 new Forwarder(self, collaborators.sender()),
                 new EntryMetrics(collaborators.metrics()),
                 new ConfirmedPositions(),
+                new FloorRequests(collaborators.floors()),
                 new SecureRandom());
     }
 
@@ -65,6 +68,16 @@
         context.forwarder().linkFailed(home);
     }
 
+    /**
+     * Takes the answer to a request for a floor.
+     *
+     * @param ticket number of the request
+     * @param floor the floor, or nothing when none could be confirmed in time
+     */
+    public void floorResolved(long ticket, Option<LogPosition> floor) {
+        context.floors().resolve(ticket, floor);
+    }
+
     /** Checks the keys of all idle sessions; called when a configuration has come into force. */
     public void configured() {
         sessions.all().forEach(c -> c.session().forEach(CallerSession::recheck));
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/ScramExchange.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/ScramExchange.java
@@ -2,13 +2,9 @@
 
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
 import java.util.Base64;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 import org.hyssopswitch.core.configuration.KeyVerifier;
-import org.hyssopswitch.core.failure.HyssopException;
+import org.hyssopswitch.core.key.ScramUtils;
 
 /**
  * The server's side of one SCRAM-SHA-256 exchange (RFC 5802, RFC 7677), without channel binding.
@@ -17,8 +13,6 @@
  */
 final class ScramExchange {
 
-    private static final String HMAC = "HmacSHA256";
-
     private final KeyVerifier verifier;
     private final String serverNonce;
     private String clientFirstBare = "";
@@ -78,25 +72,9 @@
         }
         String authMessage = clientFirstBare + "," + serverFirst + "," + withoutProof;
         return decode(message.substring(proofAt + 3))
-                .filter(proof -> isValid(proof, authMessage))
-                .map(proof -> "v=" + Base64.getEncoder().encodeToString(serverSignature(authMessage)));
-    }
-
-    private boolean isValid(byte[] proof, String authMessage) {
-        byte[] storedKey = Base64.getDecoder().decode(verifier.storedKey());
-        byte[] signature = hmac(storedKey, authMessage);
-        if (proof.length != signature.length) {
-            return false;
-        }
-        byte[] clientKey = new byte[proof.length];
-        for (int i = 0; i < proof.length; i++) {
-            clientKey[i] = (byte) (proof[i] ^ signature[i]);
-        }
-        return MessageDigest.isEqual(sha256(clientKey), storedKey);
-    }
-
-    private byte[] serverSignature(String authMessage) {
-        return hmac(Base64.getDecoder().decode(verifier.serverKey()), authMessage);
+                .filter(proof -> ScramUtils.verifyProof(authMessage, proof, verifier))
+                .map(proof ->
+                        "v=" + Base64.getEncoder().encodeToString(ScramUtils.serverSignature(authMessage, verifier)));
     }
 
     private static Option<byte[]> decode(String base64) {
@@ -115,22 +93,4 @@
         }
         return Option.none();
     }
-
-    private static byte[] hmac(byte[] key, String text) {
-        try {
-            Mac mac = Mac.getInstance(HMAC);
-            mac.init(new SecretKeySpec(key, HMAC));
-            return mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
-        } catch (GeneralSecurityException e) {
-            throw new HyssopException("HmacSHA256 is not available", e);
-        }
-    }
-
-    private static byte[] sha256(byte[] bytes) {
-        try {
-            return MessageDigest.getInstance("SHA-256").digest(bytes);
-        } catch (GeneralSecurityException e) {
-            throw new HyssopException("SHA-256 is not available", e);
-        }
-    }
 }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
@@ -3,8 +3,10 @@
 import io.vavr.control.Option;
 import java.util.function.Supplier;
 import org.hyssopswitch.core.engine.DecisionEngine;
+import org.hyssopswitch.core.engine.Outbox;
 import org.hyssopswitch.core.failover.CommitConfirmer;
 import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.core.identity.DatabaseId;
 import org.hyssopswitch.core.limit.RateLimiter;
 import org.hyssopswitch.core.placement.HomeResolver;
 import org.hyssopswitch.core.retry.RetryPolicy;
@@ -19,6 +21,7 @@
  * @param resolver finds the homes of endpoints
  * @param selector chooses endpoints
  * @param confirmer confirms commits
+ * @param floors finds the floors of sessions without a token
  * @param limiter admits statements
  * @param endpoints statuses of endpoints
  * @param retries decides on retries
@@ -31,6 +34,7 @@
         HomeResolver resolver,
         EndpointSelector selector,
         CommitConfirmer confirmer,
+        Floors floors,
         RateLimiter limiter,
         EndpointTable endpoints,
         RetryPolicy retries,
@@ -38,6 +42,22 @@
         Supplier<Option<Refusal>> freshness,
         Departure departure) {
 
+    /** Finds the floors of sessions without a token. */
+    @FunctionalInterface
+    public interface Floors {
+
+        /**
+         * Requests a floor; the answer is a {@code ResolveFloor} action.
+         *
+         * @param ticket number that identifies the answer
+         * @param database the database of the session
+         * @param deadlineMillis time of the monotonic clock at which the request is given up
+         * @param nowMillis milliseconds of the monotonic clock
+         * @param out takes the actions to perform
+         */
+        void request(long ticket, DatabaseId database, long deadlineMillis, long nowMillis, Outbox out);
+    }
+
     /** Begins and watches the departure of the VM. */
     public interface Departure {
 
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmDriver.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.proxy.vm;
 
+import io.vavr.control.Option;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.hyssopswitch.core.configuration.Configuration;
@@ -96,6 +97,8 @@
             home.call(call, event -> loop.execute(() -> handle(event)));
         } else if (action instanceof Action.ResolveCommit resolve) {
             home.resolve(resolve);
+        } else if (action instanceof Action.ResolveFloor floor) {
+            entry.floorResolved(floor.ticket(), Option.ofOptional(floor.floor()));
         } else if (action instanceof Action.ApplyConfiguration) {
             configured(engine.configuration());
         }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
@@ -2,11 +2,16 @@
 
 import org.hyssopswitch.core.failover.ControlAnswer;
 import org.hyssopswitch.core.failover.ControlCall;
+import org.hyssopswitch.core.failover.FloorReply;
+import org.hyssopswitch.core.failover.FloorRequest;
+import org.hyssopswitch.core.failover.GroupReports;
 import org.hyssopswitch.core.membership.CellViewReply;
 import org.hyssopswitch.core.membership.CellViewRequest;
 import org.hyssopswitch.core.membership.MembershipAck;
 import org.hyssopswitch.core.membership.MembershipPing;
 import org.hyssopswitch.core.membership.MembershipProbeRequest;
+import org.hyssopswitch.core.session.EndpointHints;
+import org.hyssopswitch.core.session.HintSubscription;
 import org.hyssopswitch.peer.MessageRegistry;
 import org.hyssopswitch.proxy.forward.ForwardMessages;
 
@@ -24,7 +29,12 @@
                 .register(13, CellViewRequest.class)
                 .register(14, CellViewReply.class)
                 .register(40, ControlCall.class)
-                .register(41, ControlAnswer.class);
+                .register(41, ControlAnswer.class)
+                .register(42, GroupReports.class)
+                .register(43, FloorRequest.class)
+                .register(44, FloorReply.class)
+                .register(50, HintSubscription.class)
+                .register(51, EndpointHints.class);
         ForwardMessages.register(builder);
         return builder.build();
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.engine.Event;
 import org.hyssopswitch.core.failure.HyssopException;
 import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.identity.VmAddress;
@@ -73,7 +74,7 @@
                 options.peer(), messages, new Inbox(), metrics, new SplittableRandom(), loop::nowMillis);
         AtomicReference<HomeService> homes = new AtomicReference<>();
         core = cores.create(transport.self(), e -> load(homes.get(), e));
-        AtomicReference<Consumer<org.hyssopswitch.core.engine.Event>> events = new AtomicReference<>(e -> {});
+        AtomicReference<Consumer<Event>> events = new AtomicReference<>(e -> {});
         PlatformCalls calls =
                 new PlatformCalls(platform, loop, e -> events.get().accept(e));
         driver = new VmDriver(loop, core.engine(), transport.self(), transport, calls);
@@ -179,6 +180,8 @@
                         core.freshness(),
                         core.limiter(),
                         core.selector(),
+                        (ticket, database, deadline) ->
+                                core.floors().request(ticket, database, deadline, loop.nowMillis(), driver::defer),
                         core.resolver(),
                         core.retries(),
                         driver::send,
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
@@ -26,6 +26,7 @@
 import org.hyssopswitch.core.engine.DecisionEngine;
 import org.hyssopswitch.core.failover.ControlRouter;
 import org.hyssopswitch.core.failover.MajorityCommitConfirmer;
+import org.hyssopswitch.core.failover.SessionFloorSystem;
 import org.hyssopswitch.core.fairness.DeficitRoundRobinQueue;
 import org.hyssopswitch.core.fairness.QueueLimits;
 import org.hyssopswitch.core.fairness.StatementQueue;
@@ -34,10 +35,12 @@
 import org.hyssopswitch.core.identity.DataCentreId;
 import org.hyssopswitch.core.identity.DatabaseId;
 import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.identity.KeyId;
 import org.hyssopswitch.core.identity.RouteId;
 import org.hyssopswitch.core.identity.TeamId;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.identity.VmId;
+import org.hyssopswitch.core.key.ScramUtils;
 import org.hyssopswitch.core.limit.EvenSplitRateLimiter;
 import org.hyssopswitch.core.membership.MembershipView;
 import org.hyssopswitch.core.placement.HomeResolver;
@@ -114,7 +117,10 @@
 
     static AccountDeclaration account(String id, String key, Rate rate) {
         return new AccountDeclaration(
-                new ClientAccountId(id), rate, List.of(DATABASE_ID), List.of(TestKeys.verifier(id + "-1", key)));
+                new ClientAccountId(id),
+                rate,
+                List.of(DATABASE_ID),
+                List.of(ScramUtils.derive(new KeyId(id + "-1"), key, id.getBytes(StandardCharsets.UTF_8), 4_096)));
     }
 
     void configure(List<AccountDeclaration> accounts) {
@@ -197,11 +203,13 @@
         ControlRouter router = new ControlRouter(self, resolver, table, new CallNumbers());
         MajorityCommitConfirmer confirmer = new MajorityCommitConfirmer(router, table);
         EvenSplitRateLimiter limiter = new EvenSplitRateLimiter(parts);
+        SessionFloorSystem floors = new SessionFloorSystem(self, resolver, table, router, confirmer, new CallNumbers());
         DecisionEngine engine = new DecisionEngine(List.of(
                 new TestSystems.GivenConfiguration(configuration::get),
                 new TestSystems.KnownStatuses(group, table),
                 router,
                 confirmer,
+                floors,
                 limiter));
         SplittableRandom random = new SplittableRandom(7);
         return new VmCore(
@@ -209,6 +217,7 @@
                 resolver,
                 new DefaultEndpointSelector(table, DATA_CENTRE, SelectionWaits.DEFAULT, random),
                 confirmer,
+                floors::request,
                 limiter,
                 table,
                 new RetryPolicy(RetryPolicy.DEFAULT_MAX_ATTEMPTS, new RetryBudget(), new Backoff(10, 200, random)),
