--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/ClientSession.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/ClientSession.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,7 +31,7 @@
     private final SessionOutput output;
     private final int process;
     private final int secret;
-    private Map<String, String> parameters = Map.of();
+    private final Map<String, String> parameters = new HashMap<>();
     private Optional<QueryProtocol> queries = Optional.empty();
     private boolean started;
     private boolean opening;
@@ -148,7 +149,7 @@
     }
 
     private void begin(StartupMessage.Session session) {
-        parameters = session.parameters();
+        parameters.putAll(session.parameters());
         started = true;
         if (!runtime.open(this)) {
             fatal(new SqlFailure(SqlError.TOO_MANY_CONNECTIONS, "sorry, too many clients already"));
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
@@ -1,7 +1,6 @@
 package org.hyssopswitch.standin.group;
 
 import io.vavr.control.Either;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -29,13 +28,18 @@
     private final Map<String, String> parameters;
     private Optional<Running> running = Optional.empty();
 
+    /**
+     * Creates a runner.
+     *
+     * @param parameters the session's parameters, which SET changes
+     */
     StatementRunner(
             EndpointRuntime runtime, boolean reader, SessionTransaction transaction, Map<String, String> parameters) {
         this.runtime = runtime;
         this.reader = reader;
         this.transaction = transaction;
         this.startupParameters = Map.copyOf(parameters);
-        this.parameters = new HashMap<>(parameters);
+        this.parameters = parameters;
     }
 
     /** Runs a statement and reports its result, now or later. */
