Spread configurations by relays, deltas and peer queries

Relays of a cell watch the platform and announce new versions; every VM also queries one random member per period and pulls only the subtrees it lacks, in pages, encoded against the version it has. The platform numbers all updates in one order, so one number says what a VM has; pages are applied only when they reach the highest version of any of their senders. The age counts from the time of the question that was answered. A restarted VM is ready only when every live member was asked and no reachable one has more. Calls to the platform are bounded for each cell, also in an outage.

--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/StartupGate.java
@@ -0,0 +1,77 @@
+package org.hyssopswitch.core.configuration;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssopswitch.core.identity.VmAddress;
+
+/**
+ * Holds a VM back until it has asked every live member of its cell and has the highest version that it heard of.
+ *
+ * <p>A version that the platform has not confirmed lately is served only after a delay, in which the platform was
+ * asked: then no one that can be reached knows a later one.
+ */
+final class StartupGate {
+
+    private static final long UNCONFIRMED_DELAY_MILLIS = 3_000;
+    private static final long FRESH_MILLIS = 15_000;
+    private static final long DONE = Long.MIN_VALUE;
+
+    private final long answerTimeoutMillis;
+    private final Map<VmAddress, Long> asked = new HashMap<>();
+    private long startMillis = Long.MIN_VALUE;
+    private boolean ready;
+
+    StartupGate(long answerTimeoutMillis) {
+        this.answerTimeoutMillis = answerTimeoutMillis;
+    }
+
+    boolean isReady() {
+        return ready;
+    }
+
+    /** Begins at the first tick. */
+    void start(long nowMillis) {
+        if (startMillis == Long.MIN_VALUE) {
+            startMillis = nowMillis;
+        }
+    }
+
+    /** The members that are still to be asked; they count as asked from now on. */
+    List<VmAddress> toAsk(List<VmAddress> members, long nowMillis) {
+        return members.stream()
+                .filter(m -> asked.putIfAbsent(m, nowMillis) == null)
+                .toList();
+    }
+
+    /** A member answered or cannot be reached. */
+    void done(VmAddress member) {
+        if (!ready) {
+            asked.put(member, DONE);
+        }
+    }
+
+    /** Whether the platform is to be asked directly, because no member has a version that it confirmed lately. */
+    boolean wantsPlatform(long ageMillis, long nowMillis) {
+        return !ready && ageMillis > FRESH_MILLIS && nowMillis - startMillis >= answerTimeoutMillis / 2;
+    }
+
+    /** Whether a relay may watch the platform: a VM without a version lets its peers answer first. */
+    boolean mayWatch(long version, long nowMillis) {
+        return ready || version > 0 || nowMillis - startMillis >= answerTimeoutMillis / 2;
+    }
+
+    void update(long version, boolean behind, long ageMillis, long nowMillis) {
+        if (ready || version == 0 || behind || isAwaiting(nowMillis)) {
+            return;
+        }
+        ready = ageMillis <= FRESH_MILLIS || nowMillis - startMillis >= UNCONFIRMED_DELAY_MILLIS;
+        if (ready) {
+            asked.clear();
+        }
+    }
+
+    private boolean isAwaiting(long nowMillis) {
+        return asked.values().stream().anyMatch(t -> t != DONE && nowMillis - t < answerTimeoutMillis);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/SubtreeStore.java
@@ -0,0 +1,134 @@
+package org.hyssopswitch.core.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.hyssopswitch.core.identity.TeamId;
+
+/**
+ * The subtrees of the version in force, and older values of some, against which newer ones are encoded.
+ *
+ * <p>Removed subtrees are kept without a value, so that their removal can be passed on.
+ */
+final class SubtreeStore {
+
+    private static final int MAX_ENCODED = 64;
+
+    private final long maxOlderBytes;
+    private final Map<TeamId, Subtree> byTeam = new HashMap<>();
+    private final TreeMap<Long, Subtree> byVersion = new TreeMap<>();
+    private final Map<SubtreeKey, byte[]> older = new LinkedHashMap<>();
+    private final Map<EncodedKey, byte[]> encoded = new LinkedHashMap<>();
+    private long olderBytes;
+    private long version;
+
+    SubtreeStore(long maxOlderBytes) {
+        this.maxOlderBytes = maxOlderBytes;
+    }
+
+    /** The version in force. */
+    long version() {
+        return version;
+    }
+
+    /** Replaces subtrees by newer ones, which together make a whole version. */
+    List<Subtree> apply(Collection<Subtree> changes, long newVersion) {
+        List<Subtree> applied = new ArrayList<>();
+        for (Subtree change : changes) {
+            Subtree current = byTeam.get(change.team());
+            if (current == null || current.version() < change.version()) {
+                replace(current, change);
+                applied.add(change);
+            }
+        }
+        version = Math.max(version, newVersion);
+        return applied;
+    }
+
+    /** The value of a team's subtree if it has a version. */
+    Optional<byte[]> value(TeamId team, long ofVersion) {
+        Subtree subtree = byTeam.get(team);
+        return subtree != null && subtree.version() == ofVersion ? Optional.of(subtree.value()) : Optional.empty();
+    }
+
+    /** The subtrees that a VM lacks, up to a number of bytes. */
+    ConfigurationPage page(ConfigurationRequest request, int maxBytes) {
+        List<SubtreeChange> changes = new ArrayList<>();
+        long upTo = request.afterVersion();
+        int bytes = 0;
+        for (Subtree subtree : byVersion.tailMap(request.afterVersion(), false).values()) {
+            if (bytes >= maxBytes) {
+                return new ConfigurationPage(request.sequence(), upTo, version, changes, 0);
+            }
+            SubtreeChange change = change(subtree, request);
+            changes.add(change);
+            bytes += change.encoded().length;
+            upTo = subtree.version();
+        }
+        return new ConfigurationPage(request.sequence(), version, version, changes, 0);
+    }
+
+    private SubtreeChange change(Subtree subtree, ConfigurationRequest request) {
+        if (subtree.value().length == 0) {
+            return new SubtreeChange(subtree.team(), subtree.version(), 0, Subtree.NO_VALUE);
+        }
+        Optional<SubtreeKey> base = request.whole() ? Optional.empty() : baseOf(subtree, request.appliedVersion());
+        long baseVersion = base.map(SubtreeKey::version).orElse(0L);
+        byte[] baseValue = base.map(older::get).orElse(Subtree.NO_VALUE);
+        return new SubtreeChange(
+                subtree.team(), subtree.version(), baseVersion, encode(subtree, baseVersion, baseValue));
+    }
+
+    private byte[] encode(Subtree subtree, long baseVersion, byte[] base) {
+        EncodedKey key = new EncodedKey(new SubtreeKey(subtree.team(), subtree.version()), baseVersion);
+        byte[] known = encoded.get(key);
+        if (known != null) {
+            return known;
+        }
+        byte[] result = SubtreeDelta.encode(base, subtree.value());
+        encoded.put(key, result);
+        if (encoded.size() > MAX_ENCODED) {
+            encoded.remove(encoded.keySet().iterator().next());
+        }
+        return result;
+    }
+
+    /** The newest older value that a VM with a version may have; the VM checks whether it does. */
+    private Optional<SubtreeKey> baseOf(Subtree subtree, long appliedVersion) {
+        return older.keySet().stream()
+                .filter(k -> k.team().equals(subtree.team()) && k.version() <= appliedVersion)
+                .max((a, b) -> Long.compare(a.version(), b.version()));
+    }
+
+    private void replace(Subtree current, Subtree change) {
+        if (current != null) {
+            byVersion.remove(current.version());
+            keepOlder(current);
+        }
+        byTeam.put(change.team(), change);
+        byVersion.put(change.version(), change);
+    }
+
+    private void keepOlder(Subtree subtree) {
+        if (subtree.value().length == 0 || subtree.value().length > maxOlderBytes) {
+            return;
+        }
+        older.put(new SubtreeKey(subtree.team(), subtree.version()), subtree.value());
+        olderBytes += subtree.value().length;
+        while (olderBytes > maxOlderBytes) {
+            SubtreeKey eldest = older.keySet().iterator().next();
+            olderBytes -= older.remove(eldest).length;
+        }
+    }
+
+    /** One version of a team's subtree. */
+    private record SubtreeKey(TeamId team, long version) {}
+
+    /** A version of a subtree encoded against another. */
+    private record EncodedKey(SubtreeKey subtree, long baseVersion) {}
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationCluster.java
@@ -0,0 +1,257 @@
+package org.hyssopswitch.core.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.DecisionEngine;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.engine.PlatformFailure;
+import org.hyssopswitch.core.failure.Failure;
+import org.hyssopswitch.core.identity.CellId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/** A few systems, a platform and a link between each pair that a test delays, drops from and cuts; virtual time. */
+final class ConfigurationCluster {
+
+    static final long STEP_MILLIS = 50;
+    private static final long WATCH_MILLIS = 5_000;
+
+    private final FakePlatform platform = new FakePlatform();
+    private final Map<Integer, Node> nodes = new TreeMap<>();
+    private final List<InFlight> messages = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final Set<Integer> cutOff = new HashSet<>();
+    private final Set<Integer> cutFromPlatform = new HashSet<>();
+    private final ConfigurationSettings settings;
+    private final SplittableRandom random;
+    private long nowMillis = 10_000;
+    private long incarnations;
+    private int dropPercent;
+    private long maxDelayMillis;
+    private long sentMessages;
+
+    ConfigurationCluster(int size, ConfigurationSettings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        for (int i = 0; i < size; i++) {
+            start(i);
+        }
+    }
+
+    FakePlatform platform() {
+        return platform;
+    }
+
+    ConfigurationStatus status(int index) {
+        return nodes.get(index).system;
+    }
+
+    long now() {
+        return nowMillis;
+    }
+
+    long sentMessages() {
+        return sentMessages;
+    }
+
+    int size() {
+        return nodes.size();
+    }
+
+    void disturb(int percent, long delayMillis) {
+        dropPercent = percent;
+        maxDelayMillis = delayMillis;
+    }
+
+    void cut(int index) {
+        cutOff.add(index);
+        showMembers();
+    }
+
+    void cutFromPlatform(int index) {
+        cutFromPlatform.add(index);
+    }
+
+    void heal() {
+        cutOff.clear();
+        cutFromPlatform.clear();
+        disturb(0, 0);
+        platform.setUp(true);
+        showMembers();
+    }
+
+    void stop(int index) {
+        nodes.remove(index);
+        showMembers();
+    }
+
+    /** Starts a VM, or starts it again with a new incarnation and without any memory. */
+    void start(int index) {
+        incarnations++;
+        VmAddress self = new VmAddress(
+                new VmId("vm" + index),
+                incarnations,
+                new DataCentreId("dc"),
+                new CellId("c"),
+                "127.0.0.1",
+                1000 + index);
+        nodes.put(index, new Node(self));
+        showMembers();
+    }
+
+    void run(long millis) {
+        for (long end = nowMillis + millis; nowMillis < end; ) {
+            step();
+        }
+    }
+
+    /** Runs until all VMs have the platform's version, and returns the time it took. */
+    long converge(long limitMillis) {
+        long begin = nowMillis;
+        while (!isConverged()) {
+            assertTrue(nowMillis - begin <= limitMillis, () -> "not converged: " + versions());
+            step();
+        }
+        return nowMillis - begin;
+    }
+
+    boolean isConverged() {
+        return nodes.values().stream().allMatch(n -> n.system.version() == platform.configurationVersion());
+    }
+
+    private List<Long> versions() {
+        return nodes.values().stream().map(n -> n.system.version()).toList();
+    }
+
+    private void step() {
+        nowMillis += STEP_MILLIS;
+        List<InFlight> due =
+                messages.stream().filter(m -> m.dueMillis <= nowMillis).toList();
+        messages.removeAll(due);
+        due.forEach(this::deliver);
+        List<Watch> answered = watches.stream().filter(this::isAnswered).toList();
+        watches.removeAll(answered);
+        answered.forEach(this::answer);
+        nodes.values().forEach(Node::tick);
+    }
+
+    private boolean isAnswered(Watch watch) {
+        return !platform.isUp()
+                || cutFromPlatform.contains(watch.index)
+                || platform.hasAfter(watch.after)
+                || nowMillis - watch.sentMillis >= WATCH_MILLIS;
+    }
+
+    private void answer(Watch watch) {
+        Node node = nodes.get(watch.index);
+        if (node == null || !node.self.equals(watch.from)) {
+            return;
+        }
+        var result = cutFromPlatform.contains(watch.index)
+                ? Either.<PlatformFailure, org.hyssopswitch.core.engine.PrefixChanges>left(
+                        new PlatformFailure.NoAnswer("config/teams/", "cut off"))
+                : platform.answer(watch.after);
+        node.handle(new Event.PrefixAnswered(watch.call, result));
+    }
+
+    private void deliver(InFlight message) {
+        int to = message.to.port() - 1000;
+        Node node = nodes.get(to);
+        int from = message.from.port() - 1000;
+        boolean reachable =
+                node != null && node.self.equals(message.to) && cutOff.contains(from) == cutOff.contains(to);
+        if (reachable && random.nextInt(100) >= dropPercent) {
+            node.handle(new Event.MessageReceived(message.from, message.message));
+        } else if (nodes.containsKey(from) && !reachable) {
+            nodes.get(from).handle(new Event.LinkFailed(message.to));
+        }
+    }
+
+    private void showMembers() {
+        for (Map.Entry<Integer, Node> entry : nodes.entrySet()) {
+            boolean side = cutOff.contains(entry.getKey());
+            entry.getValue()
+                    .view
+                    .show(nodes.entrySet().stream()
+                            .filter(e -> cutOff.contains(e.getKey()) == side)
+                            .map(e -> e.getValue().self)
+                            .toList());
+        }
+    }
+
+    private record InFlight(long dueMillis, VmAddress from, VmAddress to, PeerMessage message) {}
+
+    private record Watch(int index, VmAddress from, long call, long after, long sentMillis) {}
+
+    /** One VM. */
+    private final class Node {
+
+        private final VmAddress self;
+        private final FakeView view;
+        private final ConfigurationSystem system;
+        private final DecisionEngine engine;
+
+        Node(VmAddress self) {
+            this.self = self;
+            this.view = new FakeView(self);
+            AtomicLong numbers = new AtomicLong();
+            this.system = new ConfigurationSystem(
+                    view, ConfigurationCluster::decode, settings, numbers::incrementAndGet, random.split());
+            this.engine = new DecisionEngine(List.of(system));
+        }
+
+        void tick() {
+            perform(engine.tick(nowMillis));
+        }
+
+        void handle(Event event) {
+            perform(engine.handle(event, nowMillis));
+        }
+
+        private void perform(List<Action> actions) {
+            for (Action action : actions) {
+                if (action instanceof Action.SendMessage send) {
+                    sentMessages++;
+                    long delay = STEP_MILLIS + random.nextLong(maxDelayMillis + 1);
+                    messages.add(new InFlight(nowMillis + delay, self, send.to(), send.message()));
+                } else if (action instanceof Action.WatchPrefix watch) {
+                    platform.countCall();
+                    watches.add(new Watch(self.port() - 1000, self, watch.call(), watch.afterVersion(), nowMillis));
+                } else if (action instanceof Action.ApplyConfiguration apply) {
+                    check(apply.configuration());
+                }
+            }
+        }
+
+        /** A version in force is whole: it has exactly the subtrees that the platform had at that version. */
+        private void check(Configuration configuration) {
+            assertEquals(configuration, engine.configuration(), "a version must never revert");
+            Map<String, Long> teams = new HashMap<>();
+            configuration.teams().forEach((t, c) -> teams.put(t.value(), c.version()));
+            assertEquals(platform.teamsAt(configuration.version()), teams, "version " + configuration.version());
+        }
+    }
+
+    /** Values that begin with "invalid" cannot be read. */
+    static Either<? extends Failure, TeamConfiguration> decode(
+            org.hyssopswitch.core.identity.TeamId team, long version, byte[] value) {
+        String text = new String(value, java.nio.charset.StandardCharsets.UTF_8);
+        return text.startsWith("invalid")
+                ? Either.left(new PlatformFailure.Forbidden(text))
+                : Either.right(new TeamConfiguration(team, version, List.of(), List.of(), List.of()));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/SubtreeDeltaTests.java
@@ -0,0 +1,82 @@
+package org.hyssopswitch.core.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class SubtreeDeltaTests {
+
+    @Property
+    void anyValueIsDecodedAgainstItsBase(@ForAll @Size(max = 500) byte[] base, @ForAll @Size(max = 500) byte[] value) {
+        assertArrayEquals(
+                value,
+                SubtreeDelta.decode(base, SubtreeDelta.encode(base, value)).get());
+    }
+
+    @Property
+    void editsOfARealisticValueAreDecoded(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        byte[] base = text(random, 200).getBytes(StandardCharsets.UTF_8);
+        byte[] value = base.clone();
+        for (int i = random.nextInt(4); i >= 0; i--) {
+            value[random.nextInt(value.length)] = (byte) random.nextInt();
+        }
+        assertArrayEquals(
+                value,
+                SubtreeDelta.decode(base, SubtreeDelta.encode(base, value)).get());
+    }
+
+    @Property
+    void anotherBaseIsNoticed(@ForAll @Size(min = 1, max = 300) byte[] base, @ForAll int position) {
+        byte[] value =
+                (new String(base, StandardCharsets.ISO_8859_1) + " and more").getBytes(StandardCharsets.ISO_8859_1);
+        byte[] other = base.clone();
+        other[Math.floorMod(position, base.length)] ^= 1;
+        assertTrue(SubtreeDelta.decode(other, SubtreeDelta.encode(base, value)).isEmpty());
+        assertTrue(SubtreeDelta.decode(new byte[0], SubtreeDelta.encode(base, value))
+                .isEmpty());
+    }
+
+    @Property
+    void damagedBytesNeverThrow(@ForAll @Size(max = 200) byte[] bytes, @ForAll @Size(max = 50) byte[] base) {
+        Optional<byte[]> decoded = SubtreeDelta.decode(base, bytes);
+        assertTrue(decoded.isEmpty() || decoded.get().length <= SubtreeDelta.MAX_VALUE_BYTES);
+    }
+
+    @Property
+    void truncatedBytesAreNoticed(@ForAll @Size(min = 1, max = 200) byte[] value, @ForAll int cut) {
+        byte[] encoded = SubtreeDelta.encode(new byte[0], value);
+        byte[] truncated = java.util.Arrays.copyOf(encoded, Math.floorMod(cut, encoded.length));
+        assertTrue(SubtreeDelta.decode(new byte[0], truncated).isEmpty());
+    }
+
+    @Test
+    void aValueThatInflatesBeyondTheBoundIsRefused() {
+        byte[] encoded = SubtreeDelta.encode(new byte[0], new byte[SubtreeDelta.MAX_VALUE_BYTES + 10_000]);
+        assertTrue(SubtreeDelta.decode(new byte[0], encoded).isEmpty());
+    }
+
+    @Test
+    void oneChangeInALongValueIsShort() {
+        byte[] base = text(new SplittableRandom(1), 5_000).getBytes(StandardCharsets.UTF_8);
+        byte[] value = base.clone();
+        value[base.length / 2] ^= 1;
+        assertFalse(SubtreeDelta.encode(base, value).length > 100);
+    }
+
+    private static String text(SplittableRandom random, int words) {
+        StringBuilder builder = new StringBuilder();
+        for (int i = 0; i < words; i++) {
+            builder.append("{\"id\":\"").append(random.nextInt(10_000)).append("\"},");
+        }
+        return builder.toString();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the spread of configurations. */
+package org.hyssopswitch.core.configuration;
