Lend rate and burst as confirmed shares, drain a VM

A fixed split refuses most in-rate statements of roaming sessions. Each account's rate and burst now belong to one owner VM per slot and data centre, recorded in the platform, and are lent to holders; a share counts until its return is confirmed or its lease has surely ended. A leaving VM hands its slots and shares back.

--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/drain/DrainSystem.java
@@ -0,0 +1,69 @@
+package org.hyssopswitch.core.drain;
+
+import org.hyssopswitch.core.engine.DecisionSystem;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.limit.LimitSystem;
+
+/**
+ * Stops a VM gracefully: announces that it leaves, so that others give it no new work, and hands back its shares and
+ * slots while what runs is finished.
+ */
+public final class DrainSystem implements DecisionSystem {
+
+    /** Time after which a VM no longer waits for the platform to take back its slots. */
+    public static final long HAND_BACK_TIMEOUT_MILLIS = 10_000;
+
+    private final Runnable announcement;
+    private final LimitSystem limits;
+    private DrainPhase phase = DrainPhase.RUNNING;
+    private boolean requested;
+    private long sinceMillis;
+
+    /**
+     * Creates a system in the running phase.
+     *
+     * @param announcement announces to the other VMs that this VM leaves
+     * @param limits the shares and slots to hand back
+     */
+    public DrainSystem(Runnable announcement, LimitSystem limits) {
+        this.announcement = announcement;
+        this.limits = limits;
+    }
+
+    /** Begins to leave at the next tick. Further calls change nothing. */
+    public void begin() {
+        requested = true;
+    }
+
+    /** How far the stop has come. */
+    public DrainPhase phase() {
+        return phase;
+    }
+
+    /** Whether the VM takes new callers and new transactions. */
+    public boolean acceptsWork() {
+        return !requested;
+    }
+
+    @Override
+    public void tick(long nowMillis, Outbox out) {
+        if (requested && phase == DrainPhase.RUNNING) {
+            phase = DrainPhase.LEAVING;
+            sinceMillis = nowMillis;
+            announcement.run();
+        }
+        if (phase == DrainPhase.LEAVING) {
+            limits.handBack(nowMillis, out);
+            boolean timedOut = nowMillis - sinceMillis >= HAND_BACK_TIMEOUT_MILLIS;
+            if (limits.handedBack() || timedOut) {
+                phase = DrainPhase.DONE;
+            }
+        }
+    }
+
+    @Override
+    public void handle(Event event, long nowMillis, Outbox out) {
+        // Only time moves a stop on.
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/Consumer.java
@@ -0,0 +1,143 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DataCentreId;
+
+/** The use that callers of this VM make of one client account, and the shares held for it by lending data centre. */
+final class Consumer {
+
+    private static final long PRESSURE_GAP_MILLIS = 100;
+
+    private final ClientAccountId account;
+    private final DemandMeter meter;
+    private final Map<DataCentreId, HeldShare> shares = new TreeMap<>();
+    private long lastUsedMillis;
+    private int waits;
+    private long pressedMillis = Long.MIN_VALUE / 2;
+    private long pressedSinceMillis;
+    private long refusedMillis = Long.MIN_VALUE / 2;
+
+    Consumer(ClientAccountId account, long nowMillis) {
+        this.account = account;
+        this.meter = new DemandMeter(nowMillis);
+        this.lastUsedMillis = nowMillis;
+    }
+
+    ClientAccountId account() {
+        return account;
+    }
+
+    Map<DataCentreId, HeldShare> shares() {
+        return shares;
+    }
+
+    HeldShare share(DataCentreId lender, long nowMillis) {
+        return shares.computeIfAbsent(lender, l -> new HeldShare(nowMillis));
+    }
+
+    boolean tryTake(long nowMillis) {
+        for (HeldShare share : shares.values()) {
+            if (share.tryTake(nowMillis)) {
+                return true;
+            }
+        }
+        return takeParts(nowMillis);
+    }
+
+    boolean exhausted(long nowMillis) {
+        for (HeldShare share : shares.values()) {
+            if (share.exhausted(nowMillis)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Counts an arriving statement. */
+    void count(long nowMillis) {
+        lastUsedMillis = nowMillis;
+        meter.count(nowMillis);
+    }
+
+    /** Notes that a statement was refused. */
+    void refused(long nowMillis) {
+        refusedMillis = nowMillis;
+    }
+
+    long refusedAgeMillis(long nowMillis) {
+        return nowMillis - refusedMillis;
+    }
+
+    /** Notes that a statement found no token. */
+    void lacked(long nowMillis) {
+        if (nowMillis - pressedMillis > PRESSURE_GAP_MILLIS) {
+            pressedSinceMillis = nowMillis;
+        }
+        lastUsedMillis = nowMillis;
+        pressedMillis = nowMillis;
+        waits++;
+    }
+
+    /** Milliseconds for which statements have been finding no token. */
+    long pressedForMillis(long nowMillis) {
+        return nowMillis - pressedSinceMillis;
+    }
+
+    /** Statements that found no token since the last request. */
+    int waits() {
+        return waits;
+    }
+
+    void clearWaits() {
+        waits = 0;
+    }
+
+    long pressedAgeMillis(long nowMillis) {
+        return nowMillis - pressedMillis;
+    }
+
+    long idleMillis(long nowMillis) {
+        return nowMillis - lastUsedMillis;
+    }
+
+    double demand(long nowMillis) {
+        return meter.perSecond(nowMillis);
+    }
+
+    double tokens(long nowMillis) {
+        double tokens = 0;
+        for (HeldShare share : shares.values()) {
+            tokens += share.tokens(nowMillis);
+        }
+        return tokens;
+    }
+
+    double heldRate(long nowMillis) {
+        double rate = 0;
+        for (HeldShare share : shares.values()) {
+            rate += share.rate(nowMillis);
+        }
+        return rate;
+    }
+
+    long untilTokenMillis(long nowMillis, long maxMillis) {
+        return shares.values().stream()
+                .mapToLong(s -> s.untilTokenMillis(nowMillis, maxMillis))
+                .min()
+                .orElse(maxMillis);
+    }
+
+    /** Makes up a whole token of parts of several shares. */
+    private boolean takeParts(long nowMillis) {
+        if (tokens(nowMillis) < 1) {
+            return false;
+        }
+        double missing = 1;
+        for (HeldShare share : shares.values()) {
+            missing -= share.withdraw(missing, nowMillis);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/HeldShare.java
@@ -0,0 +1,182 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.Optional;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.VmAddress;
+
+/** The share of one client account that this VM holds of one data centre's part. */
+final class HeldShare {
+
+    /** Age of a request beyond which its answer is ignored. */
+    static final long ANSWER_MILLIS = 1_000;
+
+    /** Renewals fall on a common grid, so that those to one lender travel in one message. */
+    private static final long RENEWAL_GRID_PARTS = 4;
+
+    private static final double RELEASED_TOKENS = 0.5;
+
+    private final TokenBucket bucket;
+    private Optional<VmAddress> lender = Optional.empty();
+    private long epoch;
+    private long appliedGrant;
+    private long endMillis;
+    private long renewMillis;
+    private long requestedMillis = Long.MIN_VALUE / 2;
+    private long reservedMillis = Long.MIN_VALUE / 2;
+    private int unanswered;
+    private double returnable;
+
+    HeldShare(long nowMillis) {
+        bucket = new TokenBucket(0, 0, nowMillis);
+    }
+
+    /** Takes up to a number of tokens while the lease lasts. */
+    double withdraw(double wanted, long nowMillis) {
+        return valid(nowMillis) ? bucket.withdraw(wanted, nowMillis) : 0;
+    }
+
+    /** Takes a token while the lease lasts. */
+    boolean tryTake(long nowMillis) {
+        return valid(nowMillis) && bucket.tryTake(nowMillis);
+    }
+
+    boolean valid(long nowMillis) {
+        return nowMillis < endMillis && bucket.burst() > 0;
+    }
+
+    /** Whether tokens that were handed over without a rate have been used, so that their burst can be given back. */
+    boolean exhausted(long nowMillis) {
+        return bucket.ratePerSecond() <= 0 && bucket.burst() - bucket.tokens(nowMillis) >= RELEASED_TOKENS;
+    }
+
+    /** What this VM may use now. */
+    Amount amount(long nowMillis) {
+        return nowMillis < endMillis ? new Amount(bucket.ratePerSecond(), bucket.burst()) : Amount.NONE;
+    }
+
+    double rate(long nowMillis) {
+        return valid(nowMillis) ? bucket.ratePerSecond() : 0;
+    }
+
+    double tokens(long nowMillis) {
+        return valid(nowMillis) ? bucket.tokens(nowMillis) : 0;
+    }
+
+    long untilTokenMillis(long nowMillis, long maxMillis) {
+        return valid(nowMillis) ? bucket.untilTokenMillis(nowMillis, maxMillis) : maxMillis;
+    }
+
+    boolean renewalDue(long nowMillis) {
+        return nowMillis >= renewMillis;
+    }
+
+    /** Milliseconds since the last request. */
+    long requestAgeMillis(long nowMillis) {
+        return nowMillis - requestedMillis;
+    }
+
+    /** Requests since the last answer. */
+    int unanswered() {
+        return unanswered;
+    }
+
+    boolean held() {
+        return appliedGrant > 0;
+    }
+
+    /**
+     * Prepares the report to a lender. From now on only this lender can change the share, so that a new owner may take
+     * over what is reported.
+     */
+    ShareDemand report(ClientAccountId account, VmAddress to, Need need, long nowMillis) {
+        lender = Optional.of(to);
+        requestedMillis = nowMillis;
+        dropIfEnded(nowMillis);
+        bucket.shrinkIfStatic(nowMillis);
+        double reserved = reserve(need.tokens(), nowMillis);
+        unanswered++;
+        double returned = returnable;
+        returnable = 0;
+        return new ShareDemand(
+                account,
+                epoch,
+                appliedGrant,
+                bucket.ratePerSecond(),
+                bucket.burst(),
+                reserved,
+                returned,
+                need.perSecond(),
+                need.tokens());
+    }
+
+    /** Applies a grant that answers a request; grants that came late or from another VM are ignored. */
+    boolean apply(VmAddress from, ShareLease lease, long requestMillis, long nowMillis) {
+        if (!accepts(from, lease)) {
+            return false;
+        }
+        dropIfEnded(nowMillis);
+        bucket.release(nowMillis);
+        reservedMillis = Long.MIN_VALUE / 2;
+        unanswered = 0;
+        resize(lease, nowMillis);
+        bucket.deposit(lease.tokens(), nowMillis);
+        endMillis = requestMillis + lease.durationMillis();
+        long grid = Math.max(1, lease.durationMillis() / RENEWAL_GRID_PARTS);
+        renewMillis = (requestMillis + lease.durationMillis() / 2) / grid * grid;
+        return true;
+    }
+
+    /** Lowers the share; its lease ends as before. */
+    boolean lower(VmAddress from, ShareLease cut, long nowMillis) {
+        if (epoch != cut.epoch() || !accepts(from, cut)) {
+            return false;
+        }
+        dropIfEnded(nowMillis);
+        resize(cut, nowMillis);
+        return true;
+    }
+
+    /** Gives the whole share up; its tokens go with the next report. */
+    void giveUp(long nowMillis) {
+        returnable += bucket.tokens(nowMillis);
+        bucket.resize(0, 0, nowMillis);
+    }
+
+    /** Reserves room for tokens unless the answer to an earlier request may still bring some. */
+    private double reserve(double tokens, long nowMillis) {
+        if (nowMillis - reservedMillis <= ANSWER_MILLIS) {
+            return 0;
+        }
+        reservedMillis = nowMillis;
+        return bucket.reserve(tokens, nowMillis);
+    }
+
+    /** A share whose lease has ended may be lent to others, and its tokens with it. */
+    private void dropIfEnded(long nowMillis) {
+        if (nowMillis >= endMillis) {
+            bucket.resize(0, 0, nowMillis);
+            returnable = 0;
+        }
+    }
+
+    private boolean accepts(VmAddress from, ShareLease lease) {
+        boolean newer = lease.epoch() > epoch || (lease.epoch() == epoch && lease.grant() > appliedGrant);
+        return newer && lender.filter(from::equals).isPresent();
+    }
+
+    private void resize(ShareLease lease, long nowMillis) {
+        double before = bucket.tokens(nowMillis);
+        bucket.resize(lease.rate(), lease.burst(), nowMillis);
+        returnable = Math.max(0, before - bucket.tokens(nowMillis));
+        epoch = lease.epoch();
+        appliedGrant = lease.grant();
+    }
+
+    /**
+     * What a holder needs.
+     *
+     * @param perSecond statements that arrive per second
+     * @param tokens tokens lacked now
+     */
+    record Need(double perSecond, double tokens) {}
+}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/RateLimiter.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/RateLimiter.java
@@ -15,4 +15,18 @@
      * @return the refusal, or nothing when the statement is admitted
      */
     Option<Refusal> tryAcquire(ClientAccountId account, long nowMillis);
+
+    /**
+     * Takes one statement from the share, or says how long the statement should wait for its token. A limiter that
+     * distributes shares needs this wait when a client account turns to a VM that holds none yet.
+     *
+     * @param account the client account
+     * @param firstAskedMillis time of the monotonic clock of the first call for this statement
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    default Admission admit(ClientAccountId account, long firstAskedMillis, long nowMillis) {
+        return tryAcquire(account, nowMillis)
+                .<Admission>map(Admission.Refused::new)
+                .getOrElse(Admission.Admitted::new);
+    }
 }
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareHolder.java
@@ -0,0 +1,305 @@
+package org.hyssopswitch.core.limit;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.membership.MembershipView;
+import org.hyssopswitch.core.placement.RendezvousUtils;
+
+/** Holds shares for the callers of this VM, and asks lenders for what their demand needs. */
+final class ShareHolder implements RateLimiter {
+
+    private static final long SCAN_INTERVAL_MILLIS = 250;
+    private static final long ANSWER_MILLIS = HeldShare.ANSWER_MILLIS;
+    private static final long MAX_RETRY_MILLIS = 1_000;
+    private static final long MAX_PRESSURE_INTERVAL_MILLIS = 320;
+    private static final long UNUSED_MILLIS = 500;
+    private static final long ESCALATION_MILLIS = 30;
+    private static final int MAX_UNANSWERED = 3;
+    private static final double SATURATED_ABOVE = 1.5;
+    private static final double LOOKAHEAD_SECONDS = 0.1;
+
+    private final MembershipView view;
+    private final LimitSettings settings;
+    private final SlotLocator locator;
+    private final Map<ClientAccountId, Consumer> consumers = new HashMap<>();
+    private final Set<Consumer> pressed = new LinkedHashSet<>();
+    private final Map<Long, Sent> sent = new LinkedHashMap<>();
+    private SplitTable splits = SplitTable.EMPTY;
+    private long sequence;
+    private long nextScanMillis;
+
+    ShareHolder(MembershipView view, LimitSettings settings, SlotLocator locator) {
+        this.view = view;
+        this.settings = settings;
+        this.locator = locator;
+    }
+
+    @Override
+    public Option<Refusal> tryAcquire(ClientAccountId account, long nowMillis) {
+        Optional<Consumer> consumer = consumer(account, nowMillis);
+        consumer.ifPresent(c -> c.count(nowMillis));
+        if (consumer.filter(c -> take(c, nowMillis)).isPresent()) {
+            return Option.none();
+        }
+        return Option.some(refuse(account, consumer, nowMillis));
+    }
+
+    @Override
+    public Admission admit(ClientAccountId account, long firstAskedMillis, long nowMillis) {
+        Optional<Consumer> consumer = consumer(account, nowMillis);
+        if (nowMillis == firstAskedMillis) {
+            consumer.ifPresent(c -> c.count(nowMillis));
+        }
+        if (consumer.filter(c -> take(c, nowMillis)).isPresent()) {
+            return new Admission.Admitted();
+        }
+        long end = firstAskedMillis + settings.admissionWaitMillis();
+        if (consumer.isEmpty() || nowMillis >= end || saturated(consumer.get(), nowMillis)) {
+            return new Admission.Refused(refuse(account, consumer, nowMillis));
+        }
+        press(consumer.get(), nowMillis);
+        return new Admission.Wait(Math.min(end, nowMillis + settings.pressureIntervalMillis()));
+    }
+
+    /** Client accounts in use on this VM. */
+    int size() {
+        return consumers.size();
+    }
+
+    /** What this VM holds of a client account's rate and burst. */
+    Amount held(ClientAccountId account, long nowMillis) {
+        Consumer consumer = consumers.get(account);
+        if (consumer == null) {
+            return Amount.NONE;
+        }
+        return consumer.shares().values().stream().map(s -> s.amount(nowMillis)).reduce(Amount.NONE, Amount::plus);
+    }
+
+    void configure(SplitTable next) {
+        splits = next;
+    }
+
+    void tick(long nowMillis, Outbox out) {
+        Batches batches = new Batches();
+        if (nowMillis >= nextScanMillis) {
+            nextScanMillis = nowMillis + SCAN_INTERVAL_MILLIS;
+            sent.values().removeIf(s -> nowMillis - s.atMillis() > ANSWER_MILLIS);
+            pressed.removeIf(c -> c.pressedAgeMillis(nowMillis) > ANSWER_MILLIS && !c.exhausted(nowMillis));
+            consumers.values().removeIf(c -> scan(c, batches, nowMillis));
+        }
+        for (Consumer consumer : pressed) {
+            request(consumer, batches, nowMillis);
+        }
+        batches.send(nowMillis, out);
+    }
+
+    void handle(VmAddress from, ShareGrant grant, long nowMillis) {
+        Sent request = sent.remove(grant.sequence());
+        if (request == null || nowMillis - request.atMillis() > ANSWER_MILLIS) {
+            return;
+        }
+        for (ShareLease lease : grant.leases()) {
+            Consumer consumer = consumers.get(lease.account());
+            if (consumer != null) {
+                consumer.share(grant.lender(), nowMillis).apply(from, lease, request.atMillis(), nowMillis);
+                locator.learn(grant.lender(), slotOf(lease.account()), from);
+            }
+        }
+    }
+
+    void handle(VmAddress from, ShareRecall recall, long nowMillis, Outbox out) {
+        Batches batches = new Batches();
+        for (ShareLease cut : recall.cuts()) {
+            Consumer consumer = consumers.get(cut.account());
+            if (consumer != null && consumer.share(recall.lender(), nowMillis).lower(from, cut, nowMillis)) {
+                report(consumer, recall.lender(), from, batches, nowMillis);
+            }
+        }
+        batches.send(nowMillis, out);
+    }
+
+    void handle(SlotRedirect redirect) {
+        locator.learn(redirect.lender(), redirect.slot(), redirect.owner());
+    }
+
+    /** Returns the shares of client accounts without a statement of late. */
+    void returnUnused(long nowMillis, Outbox out) {
+        Batches batches = new Batches();
+        consumers.values().removeIf(c -> c.idleMillis(nowMillis) >= UNUSED_MILLIS && returned(c, batches, nowMillis));
+        batches.send(nowMillis, out);
+    }
+
+    /** Looks after one client account; true when it is idle and its shares have been returned. */
+    private boolean scan(Consumer consumer, Batches batches, long nowMillis) {
+        if (consumer.idleMillis(nowMillis) >= settings.idleMillis()) {
+            return returned(consumer, batches, nowMillis);
+        }
+        if (consumer.demand(nowMillis) > consumer.heldRate(nowMillis)) {
+            request(consumer, batches, nowMillis);
+        }
+        consumer.shares().forEach((lender, share) -> {
+            if (share.held() && share.renewalDue(nowMillis) && share.requestAgeMillis(nowMillis) >= ANSWER_MILLIS) {
+                report(consumer, lender, batches, nowMillis);
+            }
+        });
+        return false;
+    }
+
+    /** Asks for more: first the own data centre and, while its share is not enough, one after the other of the rest. */
+    private void request(Consumer consumer, Batches batches, long nowMillis) {
+        long interval = pressureInterval(consumer, nowMillis);
+        long step = 0;
+        for (DataCentreId lender : lenders(consumer.account())) {
+            HeldShare share = consumer.share(lender, nowMillis);
+            boolean release = share.exhausted(nowMillis)
+                    && share.requestAgeMillis(nowMillis) >= settings.pressureIntervalMillis();
+            boolean ask = share.requestAgeMillis(nowMillis) >= interval && consumer.pressedForMillis(nowMillis) >= step;
+            if (release || ask) {
+                report(consumer, lender, batches, nowMillis);
+            }
+            step += ESCALATION_MILLIS;
+        }
+        consumer.clearWaits();
+    }
+
+    private List<DataCentreId> lenders(ClientAccountId account) {
+        String own = view.self().dataCentre().value();
+        List<DataCentreId> lenders = new ArrayList<>(
+                splits.find(account).map(AccountSplit::dataCentres).orElse(List.of()));
+        lenders.sort(Comparator.comparing((DataCentreId d) -> !d.value().equals(own))
+                .thenComparing(RendezvousUtils.byScore(own, DataCentreId::value)));
+        return lenders;
+    }
+
+    /** Asks often while statements wait, and seldom when the account as a whole is beyond its rate. */
+    private long pressureInterval(Consumer consumer, long nowMillis) {
+        boolean over = consumer.refusedAgeMillis(nowMillis) < MAX_RETRY_MILLIS
+                && consumer.demand(nowMillis) > SATURATED_ABOVE * consumer.heldRate(nowMillis);
+        return over || consumer.waits() == 0 ? MAX_PRESSURE_INTERVAL_MILLIS : settings.pressureIntervalMillis();
+    }
+
+    private void report(Consumer consumer, DataCentreId lender, Batches batches, long nowMillis) {
+        int slot = slotOf(consumer.account());
+        if (consumer.share(lender, nowMillis).unanswered() > MAX_UNANSWERED) {
+            locator.forget(lender, slot);
+        }
+        locator.find(lender, slot).ifPresent(to -> report(consumer, lender, to, batches, nowMillis));
+    }
+
+    private void report(Consumer consumer, DataCentreId lender, VmAddress to, Batches batches, long nowMillis) {
+        HeldShare share = consumer.share(lender, nowMillis);
+        double demand = consumer.demand(nowMillis);
+        double others = consumer.heldRate(nowMillis) - share.rate(nowMillis);
+        boolean own = lender.equals(view.self().dataCentre());
+        double perSecond = own ? demand : Math.max(0, demand - others);
+        double ahead = share.rate(nowMillis) > 0 ? demand * LOOKAHEAD_SECONDS : 0;
+        double tokens = Math.max(0, consumer.waits() + ahead - consumer.tokens(nowMillis));
+        ShareDemand report = share.report(
+                consumer.account(), to, new HeldShare.Need(Math.max(perSecond, consumer.waits()), tokens), nowMillis);
+        batches.add(to, lender, report);
+    }
+
+    private boolean returned(Consumer consumer, Batches batches, long nowMillis) {
+        pressed.remove(consumer);
+        giveUp(consumer, batches, nowMillis);
+        return true;
+    }
+
+    private void giveUp(Consumer consumer, Batches batches, long nowMillis) {
+        consumer.shares().forEach((lender, share) -> {
+            if (share.valid(nowMillis)) {
+                share.giveUp(nowMillis);
+                locator.find(lender, slotOf(consumer.account()))
+                        .ifPresent(to -> batches.add(
+                                to, lender, share.report(consumer.account(), to, new HeldShare.Need(0, 0), nowMillis)));
+            }
+        });
+    }
+
+    private boolean take(Consumer consumer, long nowMillis) {
+        boolean taken = consumer.tryTake(nowMillis);
+        if (taken && consumer.exhausted(nowMillis)) {
+            pressed.add(consumer);
+        }
+        return taken;
+    }
+
+    private Optional<Consumer> consumer(ClientAccountId account, long nowMillis) {
+        Consumer known = consumers.get(account);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        if (splits.find(account).isEmpty()) {
+            return Optional.empty();
+        }
+        Consumer consumer = new Consumer(account, nowMillis);
+        consumers.put(account, consumer);
+        return Optional.of(consumer);
+    }
+
+    private void press(Consumer consumer, long nowMillis) {
+        consumer.lacked(nowMillis);
+        pressed.add(consumer);
+    }
+
+    private boolean saturated(Consumer consumer, long nowMillis) {
+        double held = consumer.heldRate(nowMillis);
+        return held > 0
+                && consumer.demand(nowMillis) > SATURATED_ABOVE * held
+                && consumer.refusedAgeMillis(nowMillis) < MAX_RETRY_MILLIS;
+    }
+
+    private Refusal refuse(ClientAccountId account, Optional<Consumer> consumer, long nowMillis) {
+        consumer.ifPresent(c -> {
+            c.refused(nowMillis);
+            press(c, nowMillis);
+        });
+        long retry = consumer.map(c -> c.untilTokenMillis(nowMillis, MAX_RETRY_MILLIS))
+                .orElse(MAX_RETRY_MILLIS);
+        return new Refusal.RateExceeded(account, retry);
+    }
+
+    private int slotOf(ClientAccountId account) {
+        return SlotUtils.slotOf(account, settings.slots());
+    }
+
+    private record Sent(long atMillis) {}
+
+    private record Target(VmAddress to, DataCentreId lender) {}
+
+    /** Collects reports into one message for each lender. */
+    private final class Batches {
+
+        private final Map<Target, List<ShareDemand>> reports = new LinkedHashMap<>();
+
+        void add(VmAddress to, DataCentreId lender, ShareDemand report) {
+            reports.computeIfAbsent(new Target(to, lender), t -> new ArrayList<>())
+                    .add(report);
+        }
+
+        void send(long nowMillis, Outbox out) {
+            reports.forEach((target, list) -> {
+                for (int i = 0; i < list.size(); i += settings.maxItems()) {
+                    List<ShareDemand> part = list.subList(i, Math.min(list.size(), i + settings.maxItems()));
+                    sequence++;
+                    sent.put(sequence, new Sent(nowMillis));
+                    out.add(new Action.SendMessage(target.to(), new ShareRequest(sequence, target.lender(), part)));
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareLease.java
@@ -0,0 +1,34 @@
+package org.hyssopswitch.core.limit;
+
+import org.hyssopswitch.core.identity.ClientAccountId;
+
+/**
+ * A share granted to a holder; it replaces the share held before.
+ *
+ * @param account the client account
+ * @param epoch epoch of the slot
+ * @param grant number that grows with every grant and recall to this holder
+ * @param rate statements per second
+ * @param burst tokens that the holder may keep
+ * @param tokens tokens handed over
+ * @param durationMillis duration of the lease, counted by the holder from the sending of its request
+ */
+public record ShareLease(
+        ClientAccountId account,
+        long epoch,
+        long grant,
+        double rate,
+        double burst,
+        double tokens,
+        long durationMillis) {
+
+    /** Checks that no number is negative. */
+    public ShareLease {
+        double least = Math.min(Math.min(rate, burst), tokens);
+        if (!(least >= 0) || durationMillis < 0) {
+            throw new IllegalArgumentException("the numbers of a share of " + account
+                    + " must not be negative, but the least of its amounts is " + least + " and its duration "
+                    + durationMillis + " ms");
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareLender.java
@@ -0,0 +1,168 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.identity.ClientAccountId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+import org.hyssopswitch.core.membership.MembershipView;
+
+/** Lends the rates of the client accounts whose slots this VM owns. */
+final class ShareLender {
+
+    private static final long SWEEP_INTERVAL_MILLIS = 1_000;
+
+    private final MembershipView view;
+    private final LimitSettings settings;
+    private final SlotOwnership ownership;
+    private final SlotLocator locator;
+    private final Map<ClientAccountId, LenderAccount> accounts = new HashMap<>();
+    private final Map<VmId, Sender> senders = new HashMap<>();
+    private SplitTable splits = SplitTable.EMPTY;
+    private long configuredMillis;
+    private long grants;
+    private long nextSweepMillis;
+
+    ShareLender(MembershipView view, LimitSettings settings, SlotOwnership ownership, SlotLocator locator) {
+        this.view = view;
+        this.settings = settings;
+        this.ownership = ownership;
+        this.locator = locator;
+    }
+
+    /** Client accounts with a ledger. */
+    int size() {
+        return accounts.size();
+    }
+
+    void configure(SplitTable next, long nowMillis) {
+        SplitTable former = splits;
+        splits = next;
+        configuredMillis = nowMillis;
+        for (LenderAccount account : accounts.values()) {
+            Optional<AccountSplit> split = next.find(account.account());
+            boolean moved = !split.map(AccountSplit::dataCentres)
+                    .equals(former.find(account.account()).map(AccountSplit::dataCentres));
+            account.split(part(split), account.grown() && !moved, nowMillis);
+        }
+    }
+
+    void tick(long nowMillis, Outbox out) {
+        if (nowMillis < nextSweepMillis) {
+            return;
+        }
+        nextSweepMillis = nowMillis + SWEEP_INTERVAL_MILLIS;
+        accounts.values().removeIf(a -> !ownership.owns(slotOf(a)) || a.idle(nowMillis));
+        Map<VmAddress, List<ShareLease>> cuts = new LinkedHashMap<>();
+        for (LenderAccount account : accounts.values()) {
+            account.dropHolders(h -> view.isConfirmedGone(h.vm(), h.incarnation()), nowMillis);
+            growIfAllowed(account, nowMillis);
+            collectRecalls(account, nowMillis, cuts);
+        }
+        sendRecalls(cuts, out);
+    }
+
+    /** Whether all shares of a slot are within the splits in force. */
+    boolean settled(int slot, long nowMillis) {
+        return nowMillis >= ownership.adoptUntilMillis(slot)
+                && accounts.values().stream().filter(a -> slotOf(a) == slot).allMatch(a -> a.settled(nowMillis));
+    }
+
+    void handle(VmAddress from, ShareRequest request, long nowMillis, Outbox out) {
+        if (!isNew(from, request.sequence())) {
+            return;
+        }
+        List<ShareLease> leases = new ArrayList<>();
+        Map<VmAddress, List<ShareLease>> cuts = new LinkedHashMap<>();
+        for (ShareDemand demand : request.demands()) {
+            int slot = SlotUtils.slotOf(demand.account(), settings.slots());
+            if (!ownership.owns(slot)) {
+                redirect(from, slot, nowMillis, out);
+            } else if (splits.version() >= ownership.requiredVersion(slot)) {
+                LenderAccount account = accountOf(demand.account(), slot, nowMillis);
+                leases.add(account.lend(from, demand, nowMillis));
+                collectRecalls(account, nowMillis, cuts);
+            }
+        }
+        if (!leases.isEmpty()) {
+            out.add(new Action.SendMessage(from, new ShareGrant(request.sequence(), request.lender(), leases)));
+        }
+        sendRecalls(cuts, out);
+    }
+
+    /** A request that is not newer than the last one of its sender is a duplicate or came late. */
+    private boolean isNew(VmAddress from, long sequence) {
+        Sender last = senders.get(from.vm());
+        boolean isNew = last == null
+                || from.incarnation() > last.incarnation()
+                || (from.incarnation() == last.incarnation() && sequence > last.sequence());
+        if (isNew) {
+            senders.put(from.vm(), new Sender(from.incarnation(), sequence));
+        }
+        return isNew;
+    }
+
+    private void redirect(VmAddress from, int slot, long nowMillis, Outbox out) {
+        ownership.asked(slot, nowMillis);
+        Optional<VmAddress> owner = ownership.knownOwner(slot).or(() -> locator.candidate(dataCentre(), slot));
+        owner.filter(o -> !o.vm().equals(view.self().vm()))
+                .ifPresent(o -> out.add(new Action.SendMessage(from, new SlotRedirect(dataCentre(), slot, o))));
+    }
+
+    private LenderAccount accountOf(ClientAccountId id, int slot, long nowMillis) {
+        LenderAccount account = accounts.get(id);
+        if (account == null) {
+            long adoptUntil = ownership.adoptUntilMillis(slot);
+            account = new LenderAccount(id, ownership.epoch(slot), settings, () -> ++grants, adoptUntil, nowMillis);
+            Optional<AccountSplit> split = splits.find(id);
+            boolean grown = split.map(AccountSplit::version).orElse(0L) <= ownership.grownVersion(slot);
+            account.split(part(split), grown, nowMillis);
+            account.accrue(nowMillis - Math.max(ownership.grownMillis(slot), configuredMillis), nowMillis);
+            accounts.put(id, account);
+        }
+        growIfAllowed(account, nowMillis);
+        return account;
+    }
+
+    private void growIfAllowed(LenderAccount account, long nowMillis) {
+        if (account.grown()) {
+            return;
+        }
+        long version = splits.find(account.account()).map(AccountSplit::version).orElse(0L);
+        if (version <= ownership.grownVersion(slotOf(account))) {
+            account.grow(nowMillis);
+        }
+    }
+
+    private void collectRecalls(LenderAccount account, long nowMillis, Map<VmAddress, List<ShareLease>> cuts) {
+        for (LenderAccount.Recall recall : account.recalls(nowMillis)) {
+            cuts.computeIfAbsent(recall.holder(), h -> new ArrayList<>()).add(recall.cut());
+        }
+    }
+
+    private void sendRecalls(Map<VmAddress, List<ShareLease>> cuts, Outbox out) {
+        cuts.forEach(
+                (holder, leases) -> out.add(new Action.SendMessage(holder, new ShareRecall(dataCentre(), leases))));
+    }
+
+    private Amount part(Optional<AccountSplit> split) {
+        return split.map(s -> s.part(dataCentre())).orElse(Amount.NONE);
+    }
+
+    private int slotOf(LenderAccount account) {
+        return SlotUtils.slotOf(account.account(), settings.slots());
+    }
+
+    private DataCentreId dataCentre() {
+        return view.self().dataCentre();
+    }
+
+    private record Sender(long incarnation, long sequence) {}
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareRecall.java
@@ -0,0 +1,20 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.List;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Asks a holder to lower shares at once; their leases keep their ends. The holder answers with a
+ * {@link ShareRequest}, which confirms that it has.
+ *
+ * @param lender data centre of the lender
+ * @param cuts the lowered shares; their tokens and durations are 0
+ */
+public record ShareRecall(DataCentreId lender, List<ShareLease> cuts) implements PeerMessage {
+
+    /** Copies the list. */
+    public ShareRecall {
+        cuts = List.copyOf(cuts);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotLocator.java
@@ -0,0 +1,61 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopswitch.core.identity.CellId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.membership.MembershipView;
+import org.hyssopswitch.core.placement.RendezvousUtils;
+
+/**
+ * Finds the VM to turn to for a slot: the owner that was last heard of, or else the VM that ranks highest for the slot
+ * and so becomes its owner when there is none.
+ */
+final class SlotLocator {
+
+    private final MembershipView view;
+    private final Map<String, VmAddress> owners = new HashMap<>();
+    private SplitTable splits = SplitTable.EMPTY;
+
+    SlotLocator(MembershipView view) {
+        this.view = view;
+    }
+
+    void configure(SplitTable next) {
+        splits = next;
+    }
+
+    /** The VM that should own a slot when nobody does. */
+    Optional<VmAddress> candidate(DataCentreId dataCentre, int slot) {
+        List<CellId> cells = splits.cells(dataCentre);
+        VmAddress self = view.self();
+        CellId cell = cells.isEmpty() ? self.cell() : cells.get(slot % cells.size());
+        if (cells.isEmpty() && !dataCentre.equals(self.dataCentre())) {
+            return Optional.empty();
+        }
+        return view.candidates(cell).stream()
+                .min(Comparator.comparing(view::isSuspected)
+                        .thenComparing(RendezvousUtils.byScore(SlotUtils.path(dataCentre, slot), a -> a.vm().value())));
+    }
+
+    /** The VM to send a request to. */
+    Optional<VmAddress> find(DataCentreId dataCentre, int slot) {
+        VmAddress known = owners.get(SlotUtils.path(dataCentre, slot));
+        if (known != null && !view.isConfirmedGone(known.vm(), known.incarnation())) {
+            return Optional.of(known);
+        }
+        return candidate(dataCentre, slot);
+    }
+
+    void learn(DataCentreId dataCentre, int slot, VmAddress owner) {
+        owners.put(SlotUtils.path(dataCentre, slot), owner);
+    }
+
+    void forget(DataCentreId dataCentre, int slot) {
+        owners.remove(SlotUtils.path(dataCentre, slot));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotRedirect.java
@@ -0,0 +1,14 @@
+package org.hyssopswitch.core.limit;
+
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Tells the sender of a {@link ShareRequest} that another VM owns a slot.
+ *
+ * @param lender data centre of the slot
+ * @param slot the slot
+ * @param owner the VM to turn to
+ */
+public record SlotRedirect(DataCentreId lender, int slot, VmAddress owner) implements PeerMessage {}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
@@ -11,6 +11,7 @@
     private double ratePerSecond;
     private double burst;
     private double tokens;
+    private double reserved;
     private long filledMillis;
 
     TokenBucket(double ratePerSecond, double burst, long nowMillis) {
@@ -43,6 +44,40 @@
         return true;
     }
 
+    /** Adds tokens that another bucket gave up; those above the burst are lost. */
+    void deposit(double given, long nowMillis) {
+        refill(nowMillis);
+        tokens = Math.min(burst, tokens + given);
+    }
+
+    /** Takes up to a number of tokens to hand them to another bucket. */
+    double withdraw(double wanted, long nowMillis) {
+        refill(nowMillis);
+        double taken = Math.max(0, Math.min(wanted, tokens));
+        tokens -= taken;
+        return taken;
+    }
+
+    /** Keeps room free for tokens that are on their way, which must not be filled meanwhile; returns the room. */
+    double reserve(double room, long nowMillis) {
+        refill(nowMillis);
+        reserved = Math.max(0, Math.min(room, burst - tokens));
+        return reserved;
+    }
+
+    /** Ends a reservation. */
+    void release(long nowMillis) {
+        refill(nowMillis);
+        reserved = 0;
+    }
+
+    /** Gives up the burst that a bucket without a rate has used. */
+    void shrinkIfStatic(long nowMillis) {
+        if (ratePerSecond <= 0) {
+            resize(0, Math.max(0, tokens), nowMillis);
+        }
+    }
+
     /** Changes rate and burst; tokens above the new burst are lost and none are gained. */
     void resize(double newRatePerSecond, double newBurst, long nowMillis) {
         refill(nowMillis);
@@ -63,7 +98,8 @@
 
     private void refill(long nowMillis) {
         if (nowMillis > filledMillis) {
-            tokens = Math.min(burst, tokens + ratePerSecond * (nowMillis - filledMillis) / MILLIS_PER_SECOND);
+            double filled = tokens + ratePerSecond * (nowMillis - filledMillis) / MILLIS_PER_SECOND;
+            tokens = Math.max(tokens, Math.min(burst - reserved, filled));
             filledMillis = nowMillis;
         }
     }
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/fairness/SingleQueue.java
@@ -0,0 +1,50 @@
+package org.hyssopswitch.core.fairness;
+
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.core.identity.ClientAccountId;
+
+/** The baseline: one queue for all client accounts, first come first served, with the same bound in total. */
+final class SingleQueue implements StatementQueue<FairnessRun.Statement> {
+
+    private final Deque<FairnessRun.Statement> queue = new ArrayDeque<>();
+
+    @Override
+    public Option<Refusal> offer(
+            ClientAccountId account, FairnessRun.Statement item, long deadlineMillis, long nowMillis) {
+        if (queue.size() >= QueueLimits.DEFAULT.total()) {
+            return Option.some(new Refusal.Overloaded(account, 100));
+        }
+        queue.add(item);
+        return Option.none();
+    }
+
+    @Override
+    public Optional<FairnessRun.Statement> poll(long nowMillis) {
+        return Optional.ofNullable(queue.poll());
+    }
+
+    @Override
+    public List<FairnessRun.Statement> expire(long nowMillis) {
+        List<FairnessRun.Statement> expired = new ArrayList<>();
+        for (Iterator<FairnessRun.Statement> i = queue.iterator(); i.hasNext(); ) {
+            FairnessRun.Statement next = i.next();
+            if (next.deadlineMillis() <= nowMillis) {
+                expired.add(next);
+                i.remove();
+            }
+        }
+        return expired;
+    }
+
+    @Override
+    public int size() {
+        return queue.size();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/FaultSchedule.java
@@ -0,0 +1,44 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.SplittableRandom;
+import org.hyssopswitch.core.identity.DataCentreId;
+
+/** Draws faults from a seed: pauses, restarts, cuts, bad links, an unreachable platform and moved databases. */
+final class FaultSchedule {
+
+    private static final int MEAN_INTERVAL_MILLIS = 700;
+    private static final int QUIET_MILLIS = 4_000;
+
+    private final LimitFleet fleet;
+    private final SplittableRandom random;
+    private long version = 1;
+
+    FaultSchedule(LimitFleet fleet, SplittableRandom random) {
+        this.fleet = fleet;
+        this.random = random;
+    }
+
+    void step() {
+        if (fleet.now() < QUIET_MILLIS || random.nextInt(MEAN_INTERVAL_MILLIS) != 0) {
+            return;
+        }
+        int vm = random.nextInt(fleet.vms().size());
+        switch (random.nextInt(9)) {
+            case 0 -> fleet.vms().get(vm).pause(fleet.now() + random.nextInt(15_000));
+            case 1 -> fleet.restart(vm);
+            case 2, 3 -> fleet.cut(dataCentre(), dataCentre(), random.nextBoolean());
+            case 4 -> fleet.links(random.nextDouble() / 3, random.nextDouble() / 3, random.nextInt(1_500));
+            case 5 -> fleet.links(0, 0, 0);
+            case 6 -> fleet.platform().down(random.nextBoolean());
+            case 7 -> fleet.platform().lostAnswers(random.nextDouble() / 2);
+            default -> {
+                version++;
+                fleet.configure(LimitFaultTests.configuration(version, 1 + random.nextInt(3)));
+            }
+        }
+    }
+
+    private DataCentreId dataCentre() {
+        return new DataCentreId("dc" + random.nextInt(3));
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/LimitLoad.java
@@ -0,0 +1,159 @@
+package org.hyssopswitch.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.hyssopswitch.core.configuration.Rate;
+import org.hyssopswitch.core.identity.ClientAccountId;
+
+/** Statements of roaming sessions, offered to a fleet and to the fixed even split, and judged by an ideal bucket. */
+final class LimitLoad {
+
+    private final LimitFleet fleet;
+    private final SplittableRandom random;
+    private final List<Source> sources = new ArrayList<>();
+    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>();
+    private final Map<ClientAccountId, List<Long>> admissions = new TreeMap<>();
+    private long inRate;
+    private long refused;
+    private long refusedByEvenSplit;
+    private long offered;
+    private final int sessions;
+    private final double roamsPerSecond;
+
+    LimitLoad(LimitFleet fleet, Map<ClientAccountId, Rate> rates, Shape shape, long seed) {
+        this.fleet = fleet;
+        this.sessions = shape.sessions();
+        this.roamsPerSecond = shape.roamsPerSecond();
+        this.random = new SplittableRandom(seed ^ 0x5ca1ab1e);
+        rates.forEach((account, rate) -> sources.add(new Source(account, rate, shape.fraction())));
+    }
+
+    /** Offers the statements that arrive in the current millisecond and those whose wait is over. */
+    void step() {
+        while (!waiting.isEmpty() && waiting.peek().untilMillis() <= fleet.now()) {
+            Waiting next = waiting.poll();
+            ask(next.source(), next.vm(), next.arrivedMillis(), next.inRate());
+        }
+        sources.forEach(Source::step);
+    }
+
+    Map<ClientAccountId, List<Long>> admissions() {
+        return admissions;
+    }
+
+    /** Starts the counts anew. */
+    void reset() {
+        inRate = 0;
+        refused = 0;
+        refusedByEvenSplit = 0;
+        offered = 0;
+        sources.forEach(Source::reset);
+    }
+
+    /** Refused statements that the ideal bucket admitted, per statement that it admitted. */
+    double wrongfulRefusals() {
+        return (double) refused / Math.max(1, inRate);
+    }
+
+    double wrongfulRefusalsOfEvenSplit() {
+        return (double) refusedByEvenSplit / Math.max(1, inRate);
+    }
+
+    /** Wrongful refusals of each client account. */
+    Map<ClientAccountId, Double> wrongfulByAccount() {
+        Map<ClientAccountId, Double> result = new TreeMap<>();
+        sources.forEach(s -> result.put(s.account, (double) s.refused / Math.max(1, s.inRate)));
+        return result;
+    }
+
+    long offered() {
+        return offered;
+    }
+
+    private void ask(Source source, LimitVm vm, long arrivedMillis, boolean counted) {
+        if (!vm.running(fleet.now())) {
+            return;
+        }
+        long clock = vm.clock(fleet.now());
+        Admission admission = vm.system().admit(source.account, vm.clock(arrivedMillis), clock);
+        if (admission instanceof Admission.Admitted) {
+            admissions.computeIfAbsent(source.account, a -> new ArrayList<>()).add(fleet.now());
+        } else if (admission instanceof Admission.Wait wait) {
+            long until = fleet.now() + Math.max(1, wait.untilMillis() - clock);
+            waiting.add(new Waiting(until, source, vm, arrivedMillis, counted));
+        } else {
+            refused += counted ? 1 : 0;
+            source.refused += counted ? 1 : 0;
+        }
+    }
+
+    private final class Source {
+
+        private final ClientAccountId account;
+        private final double perMilli;
+        private final TokenBucket ideal;
+        private long inRate;
+        private long refused;
+        private final int[] places = new int[sessions];
+        private final Map<Integer, TokenBucket> evenSplit = new HashMap<>();
+
+        Source(ClientAccountId account, Rate rate, double fraction) {
+            this.account = account;
+            this.perMilli = rate.perSecond() * fraction / 1_000;
+            this.ideal = new TokenBucket(rate.perSecond(), rate.burst(), 0);
+            int parts = fleet.vms().size();
+            for (int i = 0; i < parts; i++) {
+                evenSplit.put(i, new TokenBucket(rate.perSecond() / parts, rate.burst() / parts, 0));
+            }
+        }
+
+        void reset() {
+            inRate = 0;
+            refused = 0;
+        }
+
+        void step() {
+            if (random.nextDouble() < roamsPerSecond / 1_000) {
+                places[random.nextInt(places.length)] =
+                        random.nextInt(fleet.vms().size());
+            }
+            double expected = perMilli;
+            while (random.nextDouble() < expected) {
+                arrive();
+                expected -= 1;
+            }
+        }
+
+        private void arrive() {
+            int vm = places[random.nextInt(places.length)];
+            boolean counted = ideal.tryTake(fleet.now()) && fleet.vms().get(vm).running(fleet.now());
+            offered++;
+            LimitLoad.this.inRate += counted ? 1 : 0;
+            inRate += counted ? 1 : 0;
+            refusedByEvenSplit += !evenSplit.get(vm).tryTake(fleet.now()) && counted ? 1 : 0;
+            ask(this, fleet.vms().get(vm), fleet.now(), counted);
+        }
+    }
+
+    /**
+     * The shape of a load.
+     *
+     * @param fraction offered statements as a part of the declared rate
+     * @param sessions sessions of each client account
+     * @param roamsPerSecond moves of a session of each client account to another VM
+     */
+    record Shape(double fraction, int sessions, double roamsPerSecond) {}
+
+    private record Waiting(long untilMillis, Source source, LimitVm vm, long arrivedMillis, boolean inRate)
+            implements Comparable<Waiting> {
+        @Override
+        public int compareTo(Waiting other) {
+            return Long.compare(untilMillis, other.untilMillis);
+        }
+    }
+}
