--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -11,6 +11,7 @@
 import org.hyssopswitch.core.failure.Refusal;
 import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.limit.Admission;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.retry.Attempt;
 import org.hyssopswitch.core.retry.Deadline;
@@ -42,6 +43,7 @@
     private boolean primary;
     private boolean answered;
     private boolean extended;
+    private long admissionMillis = -1;
     private boolean ended;
     private int attempts;
     private long sentMillis;
@@ -145,34 +147,28 @@
             return;
         }
         long now = context.nowMillis();
-        Option<Refusal> refusal =
-                context.collaborators().limiter().tryAcquire(session.identity().account(), now);
-        if (refusal.isEmpty()) {
-            findFloor();
-        } else if (pinned && !deadline.passed(now)) {
-            context.loop().schedule(Math.max(1, refusal.get().retryAfterMillis()), this::admit);
-        } else if (pinned) {
-            end(() -> session.endFatal(refusal.get()));
-        } else {
-            refuse(refusal.get());
+        if (admissionMillis < 0) {
+            admissionMillis = now;
+        }
+        Admission admission =
+                context.collaborators().limiter().admit(session.identity().account(), admissionMillis, now);
+        if (admission instanceof Admission.Admitted) {
+            attempt();
+        } else if (admission instanceof Admission.Wait wait) {
+            context.loop().schedule(Math.max(1, wait.untilMillis() - now), this::admit);
+        } else if (admission instanceof Admission.Refused refused) {
+            notAdmitted(refused.refusal(), now);
         }
     }
 
-    /** A read of data of some age must know what its session has seen; other statements go to the primary anyway. */
-    private void findFloor() {
-        boolean needed = !pinned && route.read() && route.maxAgeMillis() > 0;
-        if (!needed || session.floor().isDefined()) {
-            attempt();
-            return;
+    private void notAdmitted(Refusal refusal, long now) {
+        if (pinned && !deadline.passed(now)) {
+            context.loop().schedule(Math.max(1, refusal.retryAfterMillis()), this::admit);
+        } else if (pinned) {
+            end(() -> session.endFatal(refusal));
+        } else {
+            refuse(refusal);
         }
-        context.floors().request(session.database(), deadline.atMillis(), found -> {
-            found.forEach(session::floorFound);
-            if (found.isDefined()) {
-                attempt();
-            } else if (!ended) {
-                refuse(new Refusal.EndpointUnavailable(session.database(), 1_000));
-            }
-        });
     }
 
     private void attempt() {
