--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
@@ -117,6 +117,11 @@
     }
 
     private void begin(Map<String, String> parameters) {
+        Option<Refusal> stale = context.collaborators().freshness().get();
+        if (stale.isDefined()) {
+            refuse(stale.get());
+            return;
+        }
         String user = parameters.getOrDefault("user", "");
         if (user.equals(SessionIdentity.OPEN.value())) {
             loggedIn(parameters, new SessionIdentity(SessionIdentity.OPEN, Option.none()));
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleCollector.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleCollector.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hyssopswitch.core.failure.Refusal;
+import org.hyssopswitch.wire.BodyReader;
 import org.hyssopswitch.wire.Frame;
 
 /** Gathers a caller's frames into cycles. */
@@ -17,7 +18,7 @@
     private int bytes;
 
     /**
-     * Takes a frame.
+     * Takes a frame; throws {@link java.nio.BufferUnderflowException} when its body ends too early.
      *
      * @param frame the frame
      * @return the part that the frame completes, if any, or why the caller's connection must end
@@ -27,6 +28,7 @@
         if (bytes > MAX_CYCLE_BYTES) {
             return Either.left(new Refusal.ProtocolViolation("a cycle exceeds " + MAX_CYCLE_BYTES + " bytes"));
         }
+        check(frame);
         return switch ((char) frame.type()) {
             case 'Q' -> query(frame);
             case 'P', 'B', 'D', 'E', 'C' -> {
@@ -44,6 +46,18 @@
         };
     }
 
+    /** Reads what routing will read, so that a body that ends too early is found before anything runs. */
+    private static void check(Frame frame) {
+        switch ((char) frame.type()) {
+            case 'Q' -> new BodyReader(frame.body()).readString();
+            case 'P' -> PreparedStatements.sqlOf(frame);
+            case 'B', 'D', 'C' -> CycleRewriter.statementOf(frame);
+            default -> {
+                // nothing is read of other frames
+            }
+        }
+    }
+
     private Either<Refusal, Option<CyclePart>> query(Frame frame) {
         if (!frames.isEmpty()) {
             return Either.left(new Refusal.ProtocolViolation("a simple query inside an extended-protocol cycle"));
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.proxy.vm;
 
 import io.vavr.control.Option;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.hyssopswitch.core.engine.DecisionEngine;
 import org.hyssopswitch.core.engine.Outbox;
@@ -27,6 +28,8 @@
  * @param retries decides on retries
  * @param queues creates statement queues
  * @param freshness the refusal while the configuration is too old for keys to be trusted
+ * @param ready whether the configuration is known well enough to serve callers; asked on any thread
+ * @param status reports configuration, membership and limits as plain values
  * @param departure what to do when the VM begins to shut down
  */
 public record VmCore(
@@ -40,6 +43,8 @@
         RetryPolicy retries,
         QueueFactory queues,
         Supplier<Option<Refusal>> freshness,
+        Supplier<Boolean> ready,
+        Supplier<Map<String, Object>> status,
         Departure departure) {
 
     /** Finds the floors of sessions without a token. */
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
@@ -1,7 +1,10 @@
 package org.hyssopswitch.proxy.vm;
 
 import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Option;
 import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -26,6 +29,7 @@
 import org.hyssopswitch.proxy.home.HomeService;
 import org.hyssopswitch.proxy.net.DefaultDecisionLoop;
 import org.hyssopswitch.proxy.net.GrizzlyNetwork;
+import org.hyssopswitch.proxy.operations.OperationsServer;
 
 /** One running VM. */
 public final class VmRuntime implements AutoCloseable {
@@ -34,6 +38,7 @@
     private static final long HOME_TICK_MILLIS = 100;
     private static final long MIN_DRAIN_MILLIS = 500;
     private static final long DRAIN_CHECK_MILLIS = 20;
+    private static final long REGISTER_RETRY_MILLIS = 1_000;
 
     private final VmOptions options;
     private final DefaultDecisionLoop loop;
@@ -44,7 +49,10 @@
     private final EntryService entry;
     private final HomeService home;
     private final MetricRegistry metrics;
+    private final PlatformClient platform;
+    private final RandomGenerator random = new SplittableRandom();
     private final AtomicReference<PeerListener> inbox = new AtomicReference<>(new NoListener());
+    private Option<OperationsServer> operations = Option.none();
     private volatile boolean ready;
     private volatile boolean closed;
     private int callerPort;
@@ -67,7 +75,7 @@
             MetricRegistry metrics) {
         this.options = options;
         this.metrics = metrics;
-        RandomGenerator random = new SplittableRandom();
+        this.platform = platform;
         loop = new DefaultDecisionLoop("decisions-" + options.peer().vm());
         network = openNetwork();
         transport = new GrizzlyPeerTransport(
@@ -80,7 +88,7 @@
         driver = new VmDriver(loop, core.engine(), transport.self(), transport, calls);
         events.set(driver::handle);
         entry = createEntry();
-        home = createHome(random);
+        home = createHome();
         homes.set(home);
         driver.attach(entry, home);
     }
@@ -94,6 +102,7 @@
         inbox.set(new DriverListener());
         loop.execute(this::tick);
         loop.execute(this::tickHome);
+        loop.execute(this::register);
         try {
             callerPort =
                     network.listen(options.caller().host(), options.caller().port(), entry::accept);
@@ -103,8 +112,13 @@
                             + options.caller().port(),
                     e);
         }
+        operations = Option.some(new OperationsServer(
+                options.operations().host(),
+                options.operations().port(),
+                new VmStatus(loop, this::ready, this::status),
+                metrics));
         ready = true;
-        LOG.info("event=vm_started vm={} caller_port={}", self().vm(), callerPort);
+        LOG.info("event=vm_started vm={} caller_port={} operations_port={}", self().vm(), callerPort, operationsPort());
     }
 
     /** The address of the VM, with the port of its peer listener. */
@@ -117,9 +131,14 @@
         return callerPort;
     }
 
+    /** The port of the operations listener; 0 before the start. */
+    public int operationsPort() {
+        return operations.map(OperationsServer::port).getOrElse(0);
+    }
+
     /** Tells whether the VM takes new callers. */
     public boolean ready() {
-        return ready && !closed;
+        return ready && !closed && core.ready().get();
     }
 
     /** The metrics. */
@@ -161,6 +180,7 @@
         loop.close();
         transport.close();
         network.close();
+        operations.forEach(OperationsServer::close);
     }
 
     private GrizzlyNetwork openNetwork() {
@@ -188,7 +208,7 @@
                         metrics));
     }
 
-    private HomeService createHome(RandomGenerator random) {
+    private HomeService createHome() {
         return new HomeService(
                 loop,
                 network,
@@ -202,6 +222,19 @@
                         core.endpoints()::observeApplied));
     }
 
+    private Map<String, Object> status() {
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("vm", self().vm().value());
+        report.put("incarnation", self().incarnation());
+        report.put("dataCentre", self().dataCentre().value());
+        report.put("ready", ready());
+        report.put("callers", entry.connections());
+        report.put("streams", entry.streams());
+        report.put("homes", home.statuses().stream().map(VmStatus::describe).toList());
+        report.putAll(core.status().get());
+        return report;
+    }
+
     private static int load(HomeService service, EndpointId endpoint) {
         return service == null ? 0 : service.load(endpoint);
     }
@@ -213,6 +246,21 @@
         }
     }
 
+    /** Enters the VM into the platform's list; the VM serves also while the platform is away. */
+    private void register() {
+        if (closed) {
+            return;
+        }
+        CompletionStage<Void> unused = platform.register(self())
+                .thenAcceptAsync(
+                        result -> result.peekLeft(f -> {
+                            LOG.info("event=vm_register_failed reason=\"{}\"", f.describe());
+                            loop.schedule(
+                                    REGISTER_RETRY_MILLIS + random.nextLong(REGISTER_RETRY_MILLIS), this::register);
+                        }),
+                        loop);
+    }
+
     private void tickHome() {
         if (!closed) {
             loop.schedule(HOME_TICK_MILLIS, this::tickHome);
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
@@ -228,6 +228,8 @@
                     }
                 },
                 Option::none,
+                () -> true,
+                () -> Map.of("configurationVersion", configuration.get().version()),
                 new Leave(self));
     }
 
