--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -153,7 +153,7 @@
         Admission admission =
                 context.collaborators().limiter().admit(session.identity().account(), admissionMillis, now);
         if (admission instanceof Admission.Admitted) {
-            attempt();
+            findFloor();
         } else if (admission instanceof Admission.Wait wait) {
             context.loop().schedule(Math.max(1, wait.untilMillis() - now), this::admit);
         } else if (admission instanceof Admission.Refused refused) {
@@ -161,6 +161,23 @@
         }
     }
 
+    /** A read of data of some age must know what its session has seen; other statements go to the primary anyway. */
+    private void findFloor() {
+        boolean needed = !pinned && route.read() && route.maxAgeMillis() > 0;
+        if (!needed || session.floor().isDefined()) {
+            attempt();
+            return;
+        }
+        context.floors().request(session.database(), deadline.atMillis(), found -> {
+            found.forEach(session::floorFound);
+            if (found.isDefined()) {
+                attempt();
+            } else if (!ended) {
+                refuse(new Refusal.EndpointUnavailable(session.database(), 1_000));
+            }
+        });
+    }
+
     private void notAdmitted(Refusal refusal, long now) {
         if (pinned && !deadline.passed(now)) {
             context.loop().schedule(Math.max(1, refusal.retryAfterMillis()), this::admit);
