--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/CellReporter.java
@@ -0,0 +1,120 @@
+package org.hyssopswitch.core.configuration;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.Outbox;
+import org.hyssopswitch.core.engine.PlatformFailure;
+import org.hyssopswitch.core.engine.StoredObject;
+import org.hyssopswitch.core.identity.VmAddress;
+
+/**
+ * Writes which version a whole cell has in force to the platform's object {@code status/cells/<cell>}, so that operators
+ * can wait for it. Only the first relay of a cell writes, and only when the report has changed.
+ *
+ * <p>The value is JSON: {@code {"cell","dataCentre","reporter","members","version","lagging":[{"vm","version"}]}}, where
+ * the version is the lowest that a live member has.
+ */
+final class CellReporter {
+
+    private static final String PREFIX = "status/cells/";
+    private static final long MIN_PERIOD_MILLIS = 500;
+    private static final long FAILURE_DELAY_MILLIS = 5_000;
+    private static final long ANSWER_TIMEOUT_MILLIS = 30_000;
+    private static final int MAX_LAGGING = 20;
+
+    private final VmAddress self;
+    private final LongSupplier numbers;
+    private final Map<VmAddress, Long> versions = new HashMap<>();
+    private byte[] written = new byte[0];
+    private long objectVersion = -1;
+    private long openCall;
+    private boolean open;
+    private long sentMillis;
+    private long notBeforeMillis;
+
+    CellReporter(VmAddress self, LongSupplier numbers) {
+        this.self = self;
+        this.numbers = numbers;
+    }
+
+    /** A member told its version. */
+    void saw(VmAddress member, long version) {
+        if (member.cell().equals(self.cell())) {
+            versions.merge(member, version, Math::max);
+        }
+    }
+
+    /** Writes the report when this VM is the first relay and the report differs from the one written last. */
+    void tick(boolean first, long ownVersion, List<VmAddress> others, long nowMillis, Outbox out) {
+        versions.keySet().retainAll(others);
+        if (!first) {
+            objectVersion = -1;
+            return;
+        }
+        boolean waiting = open && nowMillis - sentMillis < ANSWER_TIMEOUT_MILLIS;
+        if (waiting || nowMillis < notBeforeMillis || ownVersion == 0) {
+            return;
+        }
+        byte[] report = report(ownVersion, others);
+        if (objectVersion >= 0 && Arrays.equals(report, written)) {
+            return;
+        }
+        send(report, nowMillis, out);
+    }
+
+    /** Takes the answer of the open call. */
+    void take(long call, Either<PlatformFailure, StoredObject> result, long nowMillis) {
+        if (!open || call != openCall) {
+            return;
+        }
+        open = false;
+        if (result.isRight()) {
+            objectVersion = result.get().version();
+            written = result.get().value();
+        } else {
+            // The update may have taken effect, so the object is read again before the next one.
+            objectVersion = -1;
+            notBeforeMillis = nowMillis + (isConflict(result.getLeft()) ? 0 : FAILURE_DELAY_MILLIS);
+        }
+    }
+
+    private void send(byte[] report, long nowMillis, Outbox out) {
+        open = true;
+        openCall = numbers.getAsLong();
+        sentMillis = nowMillis;
+        notBeforeMillis = nowMillis + MIN_PERIOD_MILLIS;
+        String path = PREFIX + self.cell();
+        out.add(
+                objectVersion < 0
+                        ? new Action.ReadObject(openCall, path)
+                        : new Action.UpdateObject(openCall, path, objectVersion, report));
+    }
+
+    private byte[] report(long ownVersion, List<VmAddress> others) {
+        long lowest = others.stream().mapToLong(this::versionOf).min().orElse(ownVersion);
+        String lagging = others.stream()
+                .filter(m -> versionOf(m) < ownVersion)
+                .limit(MAX_LAGGING)
+                .map(m -> "{\"vm\":\"" + m.vm() + "\",\"version\":" + versionOf(m) + "}")
+                .collect(Collectors.joining(","));
+        String json = "{\"cell\":\"" + self.cell() + "\",\"dataCentre\":\"" + self.dataCentre() + "\",\"reporter\":\""
+                + self.vm() + "\",\"members\":" + (others.size() + 1) + ",\"version\":"
+                + Math.min(lowest, ownVersion) + ",\"lagging\":[" + lagging + "]}";
+        return json.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private long versionOf(VmAddress member) {
+        return versions.getOrDefault(member, 0L);
+    }
+
+    private static boolean isConflict(PlatformFailure failure) {
+        return failure instanceof PlatformFailure.VersionConflict;
+    }
+}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/ConfigurationSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/ConfigurationSystem.java
@@ -44,6 +44,7 @@
     private final CatchUp catchUp;
     private final StartupGate gate;
     private final ByteBudget budget;
+    private final CellReporter reporter;
     private final Map<TeamId, TeamConfiguration> teams = new HashMap<>();
     private final Map<TeamId, Failure> rejected = new HashMap<>();
     private final Map<Long, Long> queries = new LinkedHashMap<>();
@@ -76,6 +77,7 @@
         this.watch = new PlatformWatch(settings, numbers, random);
         this.catchUp = new CatchUp(store, settings, random);
         this.gate = new StartupGate(settings.answerTimeoutMillis());
+        this.reporter = new CellReporter(view.self(), numbers);
         this.budget = new ByteBudget(settings.serveBytesPerSecond());
     }
 
@@ -118,6 +120,7 @@
         fallBackIfDue(relay, nowMillis, out);
         catchUp.tick(nowMillis, out);
         gate.update(store.version(), catchUp.isBehind(), ageMillis(nowMillis), nowMillis);
+        reporter.tick(ranking.isRelay(1), store.version(), ranking.others(), nowMillis, out);
     }
 
     @Override
@@ -126,6 +129,8 @@
             answered.result()
                     .peek(changes -> takeChanges(changes, nowMillis, out))
                     .peekLeft(failure -> watch.failed(failure, nowMillis));
+        } else if (event instanceof Event.ObjectAnswered answered) {
+            reporter.take(answered.call(), answered.result(), nowMillis);
         } else if (event instanceof Event.MessageReceived received) {
             receive(received.from(), received.message(), nowMillis, out);
         } else if (event instanceof Event.LinkFailed failed) {
@@ -148,6 +153,7 @@
     }
 
     private void hear(VmAddress from, long version, long nowMillis, Outbox out) {
+        reporter.saw(from, version);
         if (version > store.version()) {
             catchUp.heard(from, version);
             catchUp.tick(nowMillis, out);
@@ -230,9 +236,18 @@
             // The cells are known now; those elsewhere are asked soon, not at the next regular time.
             nextFallbackMillis = Math.min(nextFallbackMillis, nowMillis + random.nextLong(ELSEWHERE_DELAY_MILLIS));
         }
+        reportApplied(nowMillis, out);
         gate.update(version, catchUp.isBehind(), ageMillis(nowMillis), nowMillis);
     }
 
+    /** Tells the VM that reports for the cell, so that operators need not wait for the next query. */
+    private void reportApplied(long nowMillis, Outbox out) {
+        ConfigurationAnnouncement announcement = announcement(0, nowMillis);
+        ranking.first(1).stream()
+                .filter(r -> !r.equals(ranking.self()))
+                .forEach(r -> out.add(new Action.SendMessage(r, announcement)));
+    }
+
     private void decode(Subtree subtree) {
         rejected.remove(subtree.team());
         if (subtree.value().length == 0) {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/RelayRanking.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/RelayRanking.java
@@ -32,11 +32,16 @@
 
     /** Whether this VM is among the first live members. */
     boolean isRelay(int relays) {
+        return first(relays).contains(self());
+    }
+
+    /** The first live members. */
+    List<VmAddress> first(int count) {
         return view.live(self().cell()).stream()
                 .filter(a -> a.equals(self()) || !view.isSuspected(a))
                 .sorted(RendezvousUtils.byScore(KEY, a -> a.vm().value()))
-                .limit(relays)
-                .anyMatch(self()::equals);
+                .limit(count)
+                .toList();
     }
 
     /** A random live member of one of the few other cells that this VM asks. */
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationCluster.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationCluster.java
@@ -33,6 +33,7 @@
     private final FakePlatform platform = new FakePlatform();
     private final Map<Integer, Node> nodes = new TreeMap<>();
     private final List<InFlight> messages = new ArrayList<>();
+    private final List<Answer> answers = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Set<Integer> cutOff = new HashSet<>();
     private final Set<Integer> cutFromPlatform = new HashSet<>();
@@ -146,6 +147,10 @@
         List<Watch> answered = watches.stream().filter(this::isAnswered).toList();
         watches.removeAll(answered);
         answered.forEach(this::answer);
+        List<Answer> ended = List.copyOf(answers);
+        answers.clear();
+        nodes.values()
+                .forEach(n -> ended.stream().filter(a -> a.to.equals(n.self)).forEach(a -> n.handle(a.event)));
         nodes.values().forEach(Node::tick);
     }
 
@@ -195,6 +200,8 @@
 
     private record InFlight(long dueMillis, VmAddress from, VmAddress to, PeerMessage message) {}
 
+    private record Answer(VmAddress to, Event event) {}
+
     private record Watch(int index, VmAddress from, long call, long after, long sentMillis) {}
 
     /** One VM. */
@@ -231,6 +238,15 @@
                 } else if (action instanceof Action.WatchPrefix watch) {
                     platform.countCall();
                     watches.add(new Watch(self.port() - 1000, self, watch.call(), watch.afterVersion(), nowMillis));
+                } else if (action instanceof Action.ReadObject read) {
+                    answers.add(
+                            new Answer(self, new Event.ObjectAnswered(read.call(), platform.readReport(read.path()))));
+                } else if (action instanceof Action.UpdateObject update) {
+                    answers.add(new Answer(
+                            self,
+                            new Event.ObjectAnswered(
+                                    update.call(),
+                                    platform.updateReport(update.path(), update.expectedVersion(), update.value()))));
                 } else if (action instanceof Action.ApplyConfiguration apply) {
                     check(apply.configuration());
                 }
