--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
@@ -1,5 +1,9 @@
 package org.hyssopswitch.proxy.vm;
 
+import org.hyssopswitch.core.configuration.ConfigurationAnnouncement;
+import org.hyssopswitch.core.configuration.ConfigurationPage;
+import org.hyssopswitch.core.configuration.ConfigurationQuery;
+import org.hyssopswitch.core.configuration.ConfigurationRequest;
 import org.hyssopswitch.core.failover.ControlAnswer;
 import org.hyssopswitch.core.failover.ControlCall;
 import org.hyssopswitch.core.failover.FloorReply;
@@ -28,6 +32,10 @@
                 .register(12, MembershipProbeRequest.class)
                 .register(13, CellViewRequest.class)
                 .register(14, CellViewReply.class)
+                .register(20, ConfigurationQuery.class)
+                .register(21, ConfigurationAnnouncement.class)
+                .register(22, ConfigurationRequest.class)
+                .register(23, ConfigurationPage.class)
                 .register(40, ControlCall.class)
                 .register(41, ControlAnswer.class)
                 .register(42, GroupReports.class)
