Add the failure suite of membership, placement, sessions and failover

Cause: the promises must hold under every fault and pair of faults, and the checks themselves must be able to fail. Change: six cores, one group and the platform by hand under virtual time; an audit of the history; 13 faults alone and in pairs; 11 mechanisms broken on purpose, each found by the audit. Faults found and mended on the way: a primary cut off from its replicas only was promoted again and again as the most advanced of the fenced majority (PromotionNeed, avoided endpoints); latest reads could be confirmed at an endpoint that was no primary; aged reads at a cut-off primary were not confirmed (Selection.Use.confirm, used by the entry); a replaced primary reported a data age of 0 until it followed (endpoint contract and stand-in); slow answers of the primary made every await time out. The floors of sessions without a token need no messages of their own, since the entry takes them from confirmed cycles; that code is removed.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ClusterSystems.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ClusterSystems.java
@@ -25,7 +25,6 @@
  * @param endpoints the known endpoints
  * @param selector chooses endpoints for statements
  * @param confirmer confirms commits
- * @param floors finds the floors of sessions without a token
  * @param promotion orders promotions
  * @param systems the systems in the order in which the engine runs them
  */
@@ -35,7 +34,6 @@
         EndpointTable endpoints,
         EndpointSelector selector,
         CommitConfirmer confirmer,
-        SessionFloorSystem floors,
         PromotionSystem promotion,
         List<DecisionSystem> systems) {
 
@@ -87,16 +85,15 @@
         EndpointTable endpoints = new EndpointTable();
         GroupTable groups = new GroupTable();
         ControlRouter router = new ControlRouter(self, homes, endpoints, numbers);
+        HintSystem hints = new HintSystem(self, homes, endpoints, HintSystem.DEFAULT_HINTS_PER_SECOND, random);
         GroupMonitorSystem monitor =
-                new GroupMonitorSystem(view, homes, endpoints, groups, router, settings, random, load);
+                new GroupMonitorSystem(view, homes, endpoints, groups, router, settings, random, load, hints::isInUse);
         PromotionSystem promotion =
                 new PromotionSystem(self, monitor, groups, router, policy, settings, numbers, random);
         MajorityCommitConfirmer confirmer = new MajorityCommitConfirmer(router, endpoints);
-        SessionFloorSystem floors = new SessionFloorSystem(self, homes, endpoints, router, confirmer, numbers);
-        HintSystem hints = new HintSystem(self, homes, endpoints, random);
         EndpointSelector selector =
                 new DefaultEndpointSelector(endpoints, self.dataCentre(), SelectionWaits.DEFAULT, random);
-        List<DecisionSystem> systems = List.of(view, router, monitor, promotion, confirmer, floors, hints);
-        return new ClusterSystems(view, homes, endpoints, selector, confirmer, floors, promotion, systems);
+        List<DecisionSystem> systems = List.of(view, router, monitor, promotion, confirmer, hints);
+        return new ClusterSystems(view, homes, endpoints, selector, confirmer, promotion, systems);
     }
 }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ConfirmationRound.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ConfirmationRound.java
@@ -14,13 +14,15 @@
 final class ConfirmationRound {
 
     private final DatabaseDeclaration database;
+    private final EndpointId primary;
     private final long term;
     private final List<Ticket> tickets = new ArrayList<>();
     private final Map<EndpointId, Member> members = new HashMap<>();
     private long lastSequence;
 
-    ConfirmationRound(DatabaseDeclaration database, long term) {
+    ConfirmationRound(DatabaseDeclaration database, EndpointId primary, long term) {
         this.database = database;
+        this.primary = primary;
         this.term = term;
         database.endpoints().forEach(e -> members.put(e.id(), new Member()));
     }
@@ -29,6 +31,10 @@
         return database;
     }
 
+    EndpointId primary() {
+        return primary;
+    }
+
     long term() {
         return term;
     }
@@ -69,7 +75,7 @@
                 .forEach(t -> t.confirmedBy().add(await.endpoint()));
     }
 
-    /** Takes an await that the endpoint refused because it has accepted a higher term. */
+    /** Takes an await of an endpoint that has accepted a higher term, or that is not the primary it was taken for. */
     void left(Await await) {
         Member member = members.get(await.endpoint());
         member.outstanding = false;
@@ -84,17 +90,18 @@
         member.retryMillis = retryMillis;
     }
 
-    /** Removes and returns the tickets that a majority has confirmed. */
+    /** Removes and returns the tickets that a majority with the primary has confirmed. */
     List<Long> takeConfirmed() {
         return take(tickets.stream()
-                .filter(t -> t.confirmedBy().size() >= database.majority())
+                .filter(t -> t.confirmedBy().size() >= database.majority()
+                        && t.confirmedBy().contains(primary))
                 .toList());
     }
 
     /** Removes and returns the tickets that are given up: past their deadline, or without a majority in the term. */
     List<Long> takeFailed(long nowMillis) {
         long remaining = members.values().stream().filter(m -> !m.left).count();
-        boolean hopeless = remaining < database.majority();
+        boolean hopeless = remaining < database.majority() || members.get(primary).left;
         return take(tickets.stream()
                 .filter(t -> hopeless || nowMillis >= t.deadlineMillis())
                 .toList());
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/DefaultSuspicionPolicy.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/DefaultSuspicionPolicy.java
@@ -31,14 +31,15 @@
     }
 
     @Override
-    public boolean isDue(DatabaseDeclaration database, GroupTable table, long nowMillis) {
+    public PromotionNeed need(DatabaseDeclaration database, GroupTable table, long nowMillis) {
         List<GroupRow> fresh = table.rows(database).stream()
                 .filter(r -> r.isFresh(nowMillis, settings.reportAgeMillis()))
                 .toList();
         Optional<GroupRow> primary = table.primary(database);
-        return hasLostContact(database, fresh, primary, nowMillis)
-                || hasStuckFence(fresh, primary, nowMillis)
-                || isLeaving(database, fresh, primary);
+        if (hasLostContact(database, fresh, primary, nowMillis) || isLeaving(database, fresh, primary)) {
+            return PromotionNeed.REPLACE;
+        }
+        return hasStuckFence(fresh, primary, nowMillis) ? PromotionNeed.REPAIR : PromotionNeed.NONE;
     }
 
     private boolean hasLostContact(
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FailoverSettings.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FailoverSettings.java
@@ -4,7 +4,8 @@
  * Times of failure detection and promotion.
  *
  * @param activePollMillis time between two status calls to an endpoint in use or in doubt
- * @param idlePollMillis time between two status calls to an endpoint that nobody writes to
+ * @param idlePollMillis time between two status calls to an endpoint that nobody uses, and between two reports
+ *     without news
  * @param doubtMillis age of the replication contact from which a replica is polled as in doubt
  * @param silentContactMillis age of the replication contact that counts as lost while the primary's home is silent
  *     or reports the primary as silent
@@ -27,7 +28,7 @@
 
     /** Promotes about a second after the primary was cut off. */
     public static final FailoverSettings DEFAULT =
-            new FailoverSettings(200, 1_000, 300, 800, 3_000, 2_500, 1_500, 300, 3_000);
+            new FailoverSettings(200, 1_000, 300, 800, 1_500, 2_500, 1_500, 300, 3_000);
 
     /** Checks the ranges. */
     public FailoverSettings {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/GroupMonitorSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/GroupMonitorSystem.java
@@ -1,12 +1,14 @@
 package org.hyssopswitch.core.failover;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.hyssopswitch.core.configuration.Configuration;
@@ -47,6 +49,7 @@
     private final FailoverSettings settings;
     private final RandomGenerator random;
     private final ToIntFunction<EndpointId> load;
+    private final Predicate<EndpointId> inUse;
     private final Map<EndpointId, MonitoredEndpoint> monitored = new LinkedHashMap<>();
     private final List<MonitoredEndpoint> ownCell = new ArrayList<>();
     private final Set<EndpointId> siblings = new HashSet<>();
@@ -63,6 +66,7 @@
      * @param settings times
      * @param random jitter
      * @param load statements that run or wait at this VM for an endpoint
+     * @param inUse whether some VM sends statements to an endpoint
      */
     public GroupMonitorSystem(
             MembershipView view,
@@ -72,7 +76,8 @@
             ControlRouter router,
             FailoverSettings settings,
             RandomGenerator random,
-            ToIntFunction<EndpointId> load) {
+            ToIntFunction<EndpointId> load,
+            Predicate<EndpointId> inUse) {
         this.view = view;
         this.homes = homes;
         this.endpoints = endpoints;
@@ -81,6 +86,7 @@
         this.settings = settings;
         this.random = random;
         this.load = load;
+        this.inUse = inUse;
     }
 
     /** The groups in which this VM is the home of an endpoint. */
@@ -120,7 +126,9 @@
     public void configure(Configuration next, long nowMillis, Outbox out) {
         endpoints.configure(next);
         ownCell.clear();
-        for (DatabaseDeclaration database : next.databases().values()) {
+        List<DatabaseDeclaration> databases = new ArrayList<>(next.databases().values());
+        databases.sort(Comparator.comparing(DatabaseDeclaration::id));
+        for (DatabaseDeclaration database : databases) {
             database.endpoints().stream()
                     .filter(e -> e.cell().equals(view.self().cell()))
                     .forEach(e -> ownCell.add(new MonitoredEndpoint(e, database, nowMillis)));
@@ -139,7 +147,7 @@
             if (row.isPollDue(nowMillis)) {
                 poll(row, nowMillis, out);
             }
-            if (row.isReportDue(nowMillis, interval(row, nowMillis))) {
+            if (row.isReportDue(nowMillis, reportInterval(row, nowMillis))) {
                 report(row, nowMillis, batches);
             }
         }
@@ -194,7 +202,7 @@
 
     private void polled(MonitoredEndpoint row, ControlOutcome outcome, long nowMillis, Outbox out) {
         row.answered(outcome.status(), nowMillis, settings.doubtMillis());
-        row.pollAgainAt(nowMillis + jittered(interval(row, nowMillis)));
+        row.pollAgainAt(nowMillis + jittered(pollInterval(row, nowMillis)));
         if (outcome.status().isPresent()) {
             follow(row, outcome.status().get(), nowMillis, out);
         }
@@ -242,10 +250,19 @@
         }
     }
 
-    /** The time between polls and reports: short while the group is written to or any report of it gives doubt. */
-    private long interval(MonitoredEndpoint row, long nowMillis) {
-        boolean doubt = groups.rows(row.database()).stream().anyMatch(r -> isDoubtful(r, nowMillis));
-        return doubt || row.isActive(nowMillis) ? settings.activePollMillis() : settings.idlePollMillis();
+    /** The time between polls: short while the group is used or any report of it gives doubt. */
+    private long pollInterval(MonitoredEndpoint row, long nowMillis) {
+        boolean used = row.isActive(nowMillis) || inUse.test(row.endpoint().id());
+        return used || isInDoubt(row, nowMillis) ? settings.activePollMillis() : settings.idlePollMillis();
+    }
+
+    /** The time between reports that bring nothing new: short only in doubt, since reports cost traffic. */
+    private long reportInterval(MonitoredEndpoint row, long nowMillis) {
+        return isInDoubt(row, nowMillis) ? settings.activePollMillis() : settings.idlePollMillis();
+    }
+
+    private boolean isInDoubt(MonitoredEndpoint row, long nowMillis) {
+        return groups.rows(row.database()).stream().anyMatch(r -> isDoubtful(r, nowMillis));
     }
 
     private boolean isDoubtful(GroupRow row, long nowMillis) {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/MajorityCommitConfirmer.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/MajorityCommitConfirmer.java
@@ -10,6 +10,7 @@
 import org.hyssopswitch.core.engine.Event;
 import org.hyssopswitch.core.engine.Outbox;
 import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.position.EndpointRole;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.session.EndpointTable;
 
@@ -17,20 +18,21 @@
  * Confirms positions by awaiting them at the endpoints of the group, one await per endpoint at a time.
  *
  * <p>An endpoint confirms a ticket only by an await that was sent after the ticket was requested and that it accepted
- * in the ticket's term. A majority of such answers proves that no promotion to a higher term had fenced a majority when
+ * in the ticket's term. A majority of such answers, the primary's included, proves that no promotion to a higher term had fenced a majority when
  * the ticket was requested, and that every later promotion keeps the position.
  */
 public final class MajorityCommitConfirmer implements CommitConfirmer, DecisionSystem {
 
-    private static final long AWAIT_TIMEOUT_MILLIS = 400;
+    /** Local, so that only the endpoint itself can be slow. */
+    private static final long PRIMARY_TIMEOUT_MILLIS = 2_500;
+
+    private static final long SIBLING_TIMEOUT_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 30;
     private static final long MAX_RETRY_MILLIS = 480;
 
     private final ControlRouter router;
     private final EndpointTable endpoints;
     private final Map<Key, ConfirmationRound> rounds = new LinkedHashMap<>();
-    private final Map<Long, Resolution> resolutions = new LinkedHashMap<>();
-    private long lastInternalTicket;
 
     /**
      * Creates a confirmer.
@@ -48,29 +50,16 @@
             long ticket, EndpointId primary, LogPosition position, long deadlineMillis, long nowMillis, Outbox out) {
         var database = endpoints.databaseOf(primary);
         if (database.isEmpty()) {
-            resolve(ticket, false, nowMillis, out);
+            out.add(new Action.ResolveCommit(ticket, false));
             return;
         }
         Key key = new Key(primary, position.term());
         ConfirmationRound round =
-                rounds.computeIfAbsent(key, k -> new ConfirmationRound(database.get(), position.term()));
+                rounds.computeIfAbsent(key, k -> new ConfirmationRound(database.get(), primary, position.term()));
         round.add(ticket, position.offset(), deadlineMillis);
         pump(round, nowMillis, out);
     }
 
-    /** Confirms for a system of this VM, which gets the result in a callback instead of an action. */
-    void confirm(
-            EndpointId primary,
-            LogPosition position,
-            long deadlineMillis,
-            Resolution resolution,
-            long nowMillis,
-            Outbox out) {
-        long ticket = --lastInternalTicket;
-        resolutions.put(ticket, resolution);
-        confirm(ticket, primary, position, deadlineMillis, nowMillis, out);
-    }
-
     @Override
     public void tick(long nowMillis, Outbox out) {
         for (ConfirmationRound round : List.copyOf(rounds.values())) {
@@ -90,7 +79,9 @@
             round.nextAwait(endpoint.id(), nowMillis).ifPresent(await -> {
                 ControlRequest request = new ControlRequest.AwaitPosition(round.term(), await.offset());
                 ControlCallback callback = (outcome, now, outbox) -> ended(round, await, outcome, now, outbox);
-                router.call(endpoint, request, AWAIT_TIMEOUT_MILLIS, await.attempt(), callback, nowMillis, out);
+                boolean primary = endpoint.id().equals(round.primary());
+                long timeout = primary ? PRIMARY_TIMEOUT_MILLIS : SIBLING_TIMEOUT_MILLIS;
+                router.call(endpoint, request, timeout, await.attempt(), callback, nowMillis, out);
             });
         }
     }
@@ -101,7 +92,7 @@
             ControlOutcome outcome,
             long nowMillis,
             Outbox out) {
-        if (outcome.hasLeft(round.term())) {
+        if (outcome.hasLeft(round.term()) || isDeposed(round, await, outcome)) {
             round.left(await);
         } else if (outcome.isAccepted()) {
             round.reached(await);
@@ -113,26 +104,18 @@
         pump(round, nowMillis, out);
     }
 
-    private void settle(ConfirmationRound round, long nowMillis, Outbox out) {
-        round.takeConfirmed().forEach(ticket -> resolve(ticket, true, nowMillis, out));
-        round.takeFailed(nowMillis).forEach(ticket -> resolve(ticket, false, nowMillis, out));
-    }
-
-    private void resolve(long ticket, boolean confirmed, long nowMillis, Outbox out) {
-        Resolution resolution = resolutions.remove(ticket);
-        if (resolution == null) {
-            out.add(new Action.ResolveCommit(ticket, confirmed));
-        } else {
-            resolution.resolved(confirmed, nowMillis, out);
-        }
+    /** A latest read is only good at an endpoint that was the primary of the term when it confirmed. */
+    private static boolean isDeposed(ConfirmationRound round, ConfirmationRound.Await await, ControlOutcome outcome) {
+        return outcome.isAccepted()
+                && await.endpoint().equals(round.primary())
+                && outcome.status()
+                        .filter(s -> s.role() == EndpointRole.PRIMARY)
+                        .isEmpty();
     }
 
-    /** Takes the result of a confirmation that a system of this VM requested. */
-    @FunctionalInterface
-    interface Resolution {
-
-        /** Called exactly once. */
-        void resolved(boolean confirmed, long nowMillis, Outbox out);
+    private void settle(ConfirmationRound round, long nowMillis, Outbox out) {
+        round.takeConfirmed().forEach(ticket -> out.add(new Action.ResolveCommit(ticket, true)));
+        round.takeFailed(nowMillis).forEach(ticket -> out.add(new Action.ResolveCommit(ticket, false)));
     }
 
     private record Key(EndpointId primary, long term) {}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionAttempt.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionAttempt.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopswitch.core.configuration.DatabaseDeclaration;
 import org.hyssopswitch.core.configuration.EndpointDeclaration;
 import org.hyssopswitch.core.engine.ControlRequest;
@@ -38,6 +39,7 @@
     private final DatabaseDeclaration database;
     private final long term;
     private final String orderer;
+    private final Set<EndpointId> avoided;
     private final long deadlineMillis;
     private final ControlRouter router;
     private final Map<EndpointId, EndpointStatus> fenced = new HashMap<>();
@@ -46,11 +48,27 @@
     private long highestTerm;
     private Optional<EndpointStatus> chosen = Optional.empty();
 
+    /**
+     * Creates an attempt.
+     *
+     * @param database the group
+     * @param term the term, never used by this orderer before
+     * @param orderer this orderer
+     * @param avoided endpoints that become primary only when no majority can be fenced without them
+     * @param deadlineMillis time of the monotonic clock at which the attempt is given up
+     * @param router makes the control calls
+     */
     PromotionAttempt(
-            DatabaseDeclaration database, long term, String orderer, long deadlineMillis, ControlRouter router) {
+            DatabaseDeclaration database,
+            long term,
+            String orderer,
+            Set<EndpointId> avoided,
+            long deadlineMillis,
+            ControlRouter router) {
         this.database = database;
         this.term = term;
         this.orderer = orderer;
+        this.avoided = Set.copyOf(avoided);
         this.deadlineMillis = deadlineMillis;
         this.router = router;
         this.highestTerm = term;
@@ -113,11 +131,13 @@
             state = State.FAILED;
         } else if (outcome.isAccepted() && concerns(request) && state == State.FENCING) {
             fenced.put(endpoint, outcome.status().orElseThrow());
-            choose();
         } else if (outcome.isAccepted() && concerns(request)) {
             chosen = outcome.status();
             state = State.DONE;
         }
+        if (state == State.FENCING) {
+            choose();
+        }
         step(nowMillis, out);
     }
 
@@ -126,27 +146,27 @@
         return state == (request instanceof ControlRequest.Fence ? State.FENCING : State.PROMOTING);
     }
 
+    /**
+     * Chooses the most advanced endpoint of a fenced majority. Any majority holds every acknowledged write, hence also
+     * one without the avoided endpoints, even when those are more advanced.
+     */
     private void choose() {
         if (fenced.size() < database.majority()) {
             return;
         }
-        List<EndpointId> leaving = database.endpoints().stream()
-                .filter(EndpointDeclaration::leaving)
-                .map(EndpointDeclaration::id)
-                .toList();
-        List<EndpointStatus> staying = fenced.values().stream()
-                .filter(s -> !leaving.contains(s.endpoint()))
+        List<EndpointStatus> preferred = fenced.values().stream()
+                .filter(s -> !avoided.contains(s.endpoint()))
                 .toList();
-        // any majority holds every acknowledged write, also one without the leaving endpoints
-        boolean enough = staying.size() >= database.majority();
-        if (!enough && fenced.size() < database.endpoints().size() && !leaving.isEmpty() && mayFenceMore()) {
+        boolean enough = preferred.size() >= database.majority();
+        if (!enough && mayFenceMore()) {
             return;
         }
-        chosen = (enough ? staying : List.copyOf(fenced.values()))
+        chosen = (enough ? preferred : List.copyOf(fenced.values()))
                 .stream().max(Comparator.comparing(EndpointStatus::applied).thenComparing(EndpointStatus::endpoint));
         state = State.PROMOTING;
     }
 
+    /** Whether the first fence of some endpoint is still under way. */
     private boolean mayFenceMore() {
         return database.endpoints().stream()
                 .anyMatch(e -> !fenced.containsKey(e.id()) && calls.get(e.id()).attempts == 0);
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionSystem.java
@@ -16,6 +16,7 @@
 import org.hyssopswitch.core.engine.Event;
 import org.hyssopswitch.core.engine.Outbox;
 import org.hyssopswitch.core.identity.DatabaseId;
+import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.position.EndpointStatus;
 import org.hyssopswitch.core.position.LogPosition;
@@ -108,7 +109,7 @@
         GroupPromotion promotion = promotions.computeIfAbsent(database.id(), id -> new GroupPromotion());
         if (promotion.attempt != null) {
             promotion.stepAttempt(database, nowMillis, out);
-        } else if (!policy.isDue(database, groups, nowMillis)) {
+        } else if (need(database, nowMillis) == PromotionNeed.NONE) {
             promotion.calm();
         } else if (promotion.claim != null) {
             promotion.stepClaim(database, nowMillis, out);
@@ -117,6 +118,20 @@
         }
     }
 
+    private PromotionNeed need(DatabaseDeclaration database, long nowMillis) {
+        return policy.need(database, groups, nowMillis);
+    }
+
+    /** The endpoints that should not become primary: those leaving, and the primary that is to be replaced. */
+    private Set<EndpointId> avoided(DatabaseDeclaration database, long nowMillis) {
+        Set<EndpointId> avoided = new HashSet<>();
+        database.endpoints().stream().filter(EndpointDeclaration::leaving).forEach(e -> avoided.add(e.id()));
+        if (need(database, nowMillis) == PromotionNeed.REPLACE) {
+            groups.primary(database).ifPresent(p -> avoided.add(p.status().endpoint()));
+        }
+        return avoided;
+    }
+
     /** The place of this VM among the orderers: the home of the most advanced staying replica comes first. */
     private OptionalInt rank(DatabaseDeclaration database, long nowMillis) {
         Comparator<EndpointDeclaration> order = Comparator.comparing(EndpointDeclaration::leaving)
@@ -193,7 +208,7 @@
                 long term = Math.max(claim.knownTerm(), groups.highestTerm(database)) + 1;
                 usedTerms.put(database.id(), term);
                 long deadline = nowMillis + settings.attemptMillis();
-                attempt = new PromotionAttempt(database, term, orderer, deadline, router);
+                attempt = new PromotionAttempt(database, term, orderer, avoided(database, nowMillis), deadline, router);
                 claim = null;
                 stepAttempt(database, nowMillis, out);
             }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/SuspicionPolicy.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/SuspicionPolicy.java
@@ -2,7 +2,7 @@
 
 import org.hyssopswitch.core.configuration.DatabaseDeclaration;
 
-/** Decides whether the primary of a group has to be replaced. */
+/** Decides whether a group needs a promotion. */
 public interface SuspicionPolicy {
 
     /**
@@ -12,5 +12,5 @@
      * @param table the last reports
      * @param nowMillis milliseconds of the monotonic clock
      */
-    boolean isDue(DatabaseDeclaration database, GroupTable table, long nowMillis);
+    PromotionNeed need(DatabaseDeclaration database, GroupTable table, long nowMillis);
 }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/DefaultEndpointSelector.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/DefaultEndpointSelector.java
@@ -14,7 +14,8 @@
  * Sends writes and latest reads to the primary of the highest known term, and other reads to a replica that covers the
  * session's floor and is recent enough.
  *
- * <p>A read without a fitting replica waits briefly for one and then goes to the primary. Among fitting replicas the
+ * <p>A read without a fitting replica waits briefly for one and then goes to the primary, where it needs a
+ * confirmation unless a majority was in contact with the primary within the accepted age. Among fitting replicas the
  * least loaded is chosen, and one of the own data centre when the loads are close.
  */
 public final class DefaultEndpointSelector implements EndpointSelector {
@@ -65,12 +66,14 @@
     }
 
     private Selection primaryOrWait(SelectionRequest request, DatabaseDeclaration database, long nowMillis) {
-        Optional<EndpointId> primary = table.primary(database)
+        Optional<EndpointRow> primary = table.primary(database)
                 .filter(row -> row.status().acceptedTerm() >= request.floor().term())
-                .map(row -> row.status().endpoint())
-                .filter(id -> !request.tried().contains(id) && !isLeaving(database, id));
+                .filter(row -> isEligible(request, database, row.status().endpoint()));
         if (primary.isPresent()) {
-            return use(primary.get(), true);
+            long age = table.primaryAgeMillis(database, primary.get(), nowMillis);
+            EndpointId id = primary.get().status().endpoint();
+            long accepted = request.route().maxAgeMillis();
+            return use(new Selection.Use(id, true, accepted == 0 || age > accepted));
         }
         long until = request.arrivedMillis() + waits.primaryMillis();
         return nowMillis < until
@@ -90,7 +93,8 @@
         int lowest = fitting.stream().mapToInt(this::cost).min().orElseThrow();
         List<EndpointDeclaration> best =
                 fitting.stream().filter(e -> cost(e) == lowest).toList();
-        return Optional.of(use(best.get(random.nextInt(best.size())).id(), false));
+        EndpointId chosen = best.get(random.nextInt(best.size())).id();
+        return Optional.of(use(new Selection.Use(chosen, false)));
     }
 
     /** Whether some replica is behind the floor by little enough that a brief wait may do. */
@@ -114,8 +118,9 @@
                 && row.dataAgeMillis(nowMillis) <= request.route().maxAgeMillis();
     }
 
-    private static boolean isLeaving(DatabaseDeclaration database, EndpointId endpoint) {
-        return database.endpoints().stream().anyMatch(e -> e.id().equals(endpoint) && e.leaving());
+    private static boolean isEligible(SelectionRequest request, DatabaseDeclaration database, EndpointId endpoint) {
+        return !request.tried().contains(endpoint)
+                && database.endpoints().stream().noneMatch(e -> e.id().equals(endpoint) && e.leaving());
     }
 
     private int cost(EndpointDeclaration endpoint) {
@@ -123,8 +128,8 @@
         return endpoint.dataCentre().equals(dataCentre) ? load : load + REMOTE_COST_STATEMENTS;
     }
 
-    private Selection use(EndpointId endpoint, boolean primary) {
-        table.addLoad(endpoint);
-        return new Selection.Use(endpoint, primary);
+    private Selection use(Selection.Use use) {
+        table.addLoad(use.endpoint());
+        return use;
     }
 }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/EndpointTable.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/EndpointTable.java
@@ -55,6 +55,15 @@
         return found;
     }
 
+    /**
+     * Whether a database was used of late.
+     *
+     * @param database the database
+     */
+    public boolean isUsed(DatabaseId database) {
+        return usedMillis.containsKey(database);
+    }
+
     /** The databases used of late, in order of their names. */
     public Set<DatabaseId> used() {
         return new TreeSet<>(usedMillis.keySet());
@@ -150,6 +159,26 @@
         return primary.filter(p -> leftTerm(database, p.status().acceptedTerm()) < database.majority());
     }
 
+    /**
+     * Milliseconds since a primary is known to have been the primary of its group: as long ago as a majority was last
+     * in contact with it in its term.
+     *
+     * @param database the group
+     * @param primary the row of the primary
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public long primaryAgeMillis(DatabaseDeclaration database, EndpointRow primary, long nowMillis) {
+        return database.endpoints().stream()
+                .flatMap(e -> row(e.id()).stream())
+                .filter(r -> r.status().role() == EndpointRole.REPLICA
+                        && r.status().acceptedTerm() == primary.status().acceptedTerm())
+                .map(r -> r.status().contactAgeMillis() + Math.max(0, nowMillis - r.measuredMillis()))
+                .sorted()
+                .skip(Math.max(0, database.majority() - 2))
+                .findFirst()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /**
      * Forgets databases that have not been used of late.
      *
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/HintSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/HintSystem.java
@@ -24,6 +24,9 @@
  */
 public final class HintSystem implements DecisionSystem {
 
+    /** Hints that a home sends per second when it has many subscribers. */
+    public static final int DEFAULT_HINTS_PER_SECOND = 400;
+
     private static final long RENEW_MILLIS = 2_000;
     private static final long LAPSE_MILLIS = 6_000;
     private static final long CHANGED_HINT_MILLIS = 50;
@@ -34,6 +37,7 @@
     private final VmAddress self;
     private final HomeResolver homes;
     private final EndpointTable table;
+    private final int hintsPerSecond;
     private final RandomGenerator random;
     private final Map<EndpointId, Map<VmAddress, Long>> subscribers = new HashMap<>();
     private final Map<EndpointId, SentHint> sent = new HashMap<>();
@@ -45,15 +49,28 @@
      * @param self this VM
      * @param homes finds the homes of endpoints
      * @param table the table to keep fresh, and to send hints from
+     * @param hintsPerSecond hints that this VM sends per second at most, as long as each endpoint gets one a second
      * @param random jitter
      */
-    public HintSystem(VmAddress self, HomeResolver homes, EndpointTable table, RandomGenerator random) {
+    public HintSystem(
+            VmAddress self, HomeResolver homes, EndpointTable table, int hintsPerSecond, RandomGenerator random) {
         this.self = self;
         this.homes = homes;
         this.table = table;
+        this.hintsPerSecond = hintsPerSecond;
         this.random = random;
     }
 
+    /**
+     * Whether this VM or a subscriber of it sends statements to an endpoint.
+     *
+     * @param endpoint the endpoint
+     */
+    public boolean isInUse(EndpointId endpoint) {
+        return subscribers.containsKey(endpoint)
+                || table.databaseOf(endpoint).filter(d -> table.isUsed(d.id())).isPresent();
+    }
+
     @Override
     public void tick(long nowMillis, Outbox out) {
         table.expire(nowMillis);
@@ -130,10 +147,17 @@
         }
         boolean same = row.measuredMillis() == last.row().measuredMillis()
                 && row.status().applied().equals(last.row().status().applied());
-        long interval = same ? UNCHANGED_HINT_MILLIS : CHANGED_HINT_MILLIS;
+        long interval = same ? UNCHANGED_HINT_MILLIS : changedInterval();
         return nowMillis - last.sentMillis() >= interval;
     }
 
+    /** Grows with the number of subscriptions, so that the hints sent per second stay bounded. */
+    private long changedInterval() {
+        long subscriptions = subscribers.values().stream().mapToLong(Map::size).sum();
+        long interval = subscriptions * 1_000 / hintsPerSecond;
+        return Math.min(UNCHANGED_HINT_MILLIS, Math.max(CHANGED_HINT_MILLIS, interval));
+    }
+
     private void address(
             EndpointId endpoint,
             EndpointRow row,
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/Selection.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/session/Selection.java
@@ -10,8 +10,21 @@
      *
      * @param endpoint the endpoint
      * @param primary whether it was chosen as the primary of its group
+     * @param confirm whether a majority must confirm a read before it is answered, because the endpoint may have been
+     *     replaced as the primary
      */
-    record Use(EndpointId endpoint, boolean primary) implements Selection {}
+    record Use(EndpointId endpoint, boolean primary, boolean confirm) implements Selection {
+
+        /**
+         * Uses an endpoint; reads at a primary are confirmed.
+         *
+         * @param endpoint the endpoint
+         * @param primary whether it was chosen as the primary of its group
+         */
+        public Use(EndpointId endpoint, boolean primary) {
+            this(endpoint, primary, primary);
+        }
+    }
 
     /**
      * No endpoint fits yet; ask again later.
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/FailoverGapTests.java
@@ -0,0 +1,83 @@
+package org.hyssopswitch.core.suite;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.hyssopswitch.core.failover.DefaultSuspicionPolicy;
+import org.hyssopswitch.core.failover.FailoverSettings;
+import org.hyssopswitch.core.failover.SuspicionPolicy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The gap in which no write succeeds after a primary is lost, in virtual time, and promotions without a cause. */
+class FailoverGapTests {
+
+    private static final int SEEDS = 25;
+    private static final long BEGIN_MILLIS = 4_000;
+    private static final long DURATION_MILLIS = 12_000;
+    private static final long MEDIAN_GOAL_MILLIS = 2_000;
+    private static final long LONGEST_GOAL_MILLIS = 8_000;
+    private static final FailoverSettings SETTINGS = FailoverSettings.DEFAULT;
+    private static final SuspicionPolicy POLICY = new DefaultSuspicionPolicy(SETTINGS);
+    private static final SuspicionPolicy BASELINE = new FixedTimeoutPolicy(1_500);
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"PRIMARY_CUT_OFF", "REPLICATION_CUT", "PRIMARY_CRASHES", "ORDERER_PAUSED"})
+    void staysWithinTheGoal(Fault fault) {
+        long[] gaps = gaps(fault, POLICY);
+        long[] baseline = gaps(fault, BASELINE);
+        System.out.println("gap fault=" + fault + " " + describe(gaps) + " baseline: " + describe(baseline));
+        assertTrue(gaps[gaps.length - 1] < LONGEST_GOAL_MILLIS, () -> describe(gaps));
+        boolean pausedOrderer = fault == Fault.ORDERER_PAUSED;
+        assertTrue(pausedOrderer || gaps[gaps.length / 2] < MEDIAN_GOAL_MILLIS, () -> describe(gaps));
+    }
+
+    @Test
+    void promotesNobodyWhileAnswersAreSlow() {
+        long own = promotions(Fault.SLOW_ANSWERS, POLICY);
+        long baseline = promotions(Fault.SLOW_ANSWERS, BASELINE);
+        System.out.println("promotions during slow answers: " + own + " baseline: " + baseline + " runs=" + SEEDS);
+        assertEquals(0, own);
+        assertTrue(baseline > 0);
+    }
+
+    private static long[] gaps(Fault fault, SuspicionPolicy policy) {
+        return LongStream.rangeClosed(1, SEEDS)
+                .map(seed -> gap(run(seed, fault, policy)))
+                .sorted()
+                .toArray();
+    }
+
+    private static long promotions(Fault fault, SuspicionPolicy policy) {
+        return LongStream.rangeClosed(1, SEEDS)
+                .map(seed -> run(seed, fault, policy).of(History.Promoted.class).size())
+                .sum();
+    }
+
+    private static History run(long seed, Fault fault, SuspicionPolicy policy) {
+        SuiteRun.Window window = new SuiteRun.Window(fault, BEGIN_MILLIS, DURATION_MILLIS);
+        return new SuiteRun(seed, List.of(window)).run(Mutation.NONE, policy, SETTINGS);
+    }
+
+    /** From the loss of the primary to the first acknowledgement in a higher term, or to the end of the run. */
+    private static long gap(History history) {
+        return history.of(History.Acked.class).stream()
+                        .filter(a -> a.term() > 1)
+                        .mapToLong(History.Acked::atMillis)
+                        .findFirst()
+                        .orElse(history.of(History.Ended.class).get(0).atMillis())
+                - BEGIN_MILLIS;
+    }
+
+    private static String describe(long[] sorted) {
+        return "min=" + sorted[0] + " median=" + sorted[sorted.length / 2] + " p90=" + sorted[sorted.length * 9 / 10]
+                + " max=" + sorted[sorted.length - 1] + " ms over "
+                + Arrays.stream(sorted).count() + " seeds";
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/ReplayTests.java
@@ -0,0 +1,12 @@
+package org.hyssopswitch.core.suite;
+
+import org.junit.jupiter.api.Test;
+
+/** Replays the run named by the system property {@code hyssop.replay}, or a calm one. */
+class ReplayTests {
+
+    @Test
+    void keepsThePromisesInTheNamedRun() {
+        SuiteRun.parse(System.getProperty("hyssop.replay", "1:")).check();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/SuiteRun.java
@@ -0,0 +1,88 @@
+package org.hyssopswitch.core.suite;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.hyssopswitch.core.failover.DefaultSuspicionPolicy;
+import org.hyssopswitch.core.failover.FailoverSettings;
+import org.hyssopswitch.core.failover.SuspicionPolicy;
+
+/** One run of the suite, determined by its seed and its faults, and printable as text that replays it. */
+record SuiteRun(long seed, List<Window> faults) {
+
+    static final long HEALED_MILLIS = 16_000;
+    private static final long END_MILLIS = 26_000;
+
+    /** Reads the form {@code seed:FAULT@begin+duration,...}. */
+    static SuiteRun parse(String text) {
+        String[] parts = text.split(":", 2);
+        List<Window> windows = Arrays.stream(parts[1].split(","))
+                .filter(w -> !w.isBlank())
+                .map(Window::parse)
+                .toList();
+        return new SuiteRun(Long.parseLong(parts[0]), windows);
+    }
+
+    @Override
+    public String toString() {
+        return seed + ":" + faults.stream().map(Window::toString).collect(Collectors.joining(","));
+    }
+
+    History run(Mutation mutation) {
+        return run(mutation, new DefaultSuspicionPolicy(FailoverSettings.DEFAULT), FailoverSettings.DEFAULT);
+    }
+
+    History run(Mutation mutation, SuspicionPolicy policy, FailoverSettings settings) {
+        SuiteCluster cluster = new SuiteCluster(seed, mutation, policy, settings);
+        SuiteWorkload workload = new SuiteWorkload(cluster);
+        cluster.workload = workload;
+        faults.forEach(w -> {
+            cluster.at(w.beginMillis(), () -> w.fault().begin(cluster));
+            cluster.at(w.beginMillis() + w.durationMillis(), () -> w.fault().end(cluster));
+        });
+        cluster.at(END_MILLIS - 4_000, workload::stop);
+        cluster.runUntil(END_MILLIS);
+        cluster.history.add(new History.Ended(END_MILLIS, cluster.primary().writes()));
+        return cluster.history;
+    }
+
+    /** Runs and fails with the violations, the shortest schedule that still shows one, and the command to replay it. */
+    History check() {
+        History whole = run(Mutation.NONE);
+        if (Audit.violations(whole).isEmpty()) {
+            return whole;
+        }
+        SuiteRun least = minimised();
+        History history = least.run(Mutation.NONE);
+        throw new AssertionError(String.join("\n", Audit.violations(history))
+                + "\nschedule " + this + "\nminimal  " + least + "\ntrace\n" + history.tail(40)
+                + "replay: mvn -o -q test -pl hyssopswitch-core -Dtest=ReplayTests -Dhyssop.replay='" + least + "'");
+    }
+
+    /** Leaves out faults as long as the run still shows a violation. */
+    private SuiteRun minimised() {
+        for (Window window : faults) {
+            List<Window> fewer = new ArrayList<>(faults);
+            fewer.remove(window);
+            SuiteRun candidate = new SuiteRun(seed, fewer);
+            if (!Audit.violations(candidate.run(Mutation.NONE)).isEmpty()) {
+                return candidate.minimised();
+            }
+        }
+        return this;
+    }
+
+    /** A fault and when it holds. */
+    record Window(Fault fault, long beginMillis, long durationMillis) {
+        static Window parse(String text) {
+            String[] parts = text.split("[@+]");
+            return new Window(Fault.valueOf(parts[0]), Long.parseLong(parts[1]), Long.parseLong(parts[2]));
+        }
+
+        @Override
+        public String toString() {
+            return fault + "@" + beginMillis + "+" + durationMillis;
+        }
+    }
+}
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -41,6 +41,7 @@
     private boolean open;
     private boolean pinned;
     private boolean primary;
+    private boolean confirm;
     private boolean answered;
     private boolean extended;
     private long admissionMillis = -1;
@@ -196,6 +197,7 @@
             EntryStream held = session.pinned().get();
             route = session.pinnedRoute();
             primary = session.pinnedPrimary();
+            confirm = primary && route.maxAgeMillis() == 0;
             send(held);
             return;
         }
@@ -227,6 +229,7 @@
 
     private void use(Selection.Use use) {
         primary = use.primary();
+        confirm = use.confirm();
         List<VmAddress> homes = homes(use.endpoint());
         if (homes.isEmpty()) {
             tried.add(use.endpoint());
@@ -262,7 +265,7 @@
                 session.database(),
                 endpoint,
                 route.read(),
-                primary && route.maxAgeMillis() == 0,
+                confirm,
                 floor(),
                 deadline.remainingMillis(context.nowMillis()));
     }
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/Endpoint.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/Endpoint.java
@@ -187,11 +187,13 @@
         return true;
     }
 
-    /** Accepts a higher term. A primary had all its data until now, so its ages count from now. */
+    /**
+     * Accepts a higher term. The contact age of a primary counts from now, but not its data age: it may have been
+     * replaced long ago without knowing.
+     */
     private void accept(long term, String by, long nowNanos) {
         if (role == EndpointRole.PRIMARY) {
             contactNanos = nowNanos;
-            dataNanos = nowNanos;
         }
         acceptedTerm = term;
         orderer = by;
