--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/engine/Action.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/engine/Action.java
@@ -1,9 +1,11 @@
 package org.hyssopswitch.core.engine;
 
+import java.util.Optional;
 import org.hyssopswitch.core.configuration.Configuration;
 import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
 
 /** What the decision core asks its outer driver to do; results come back as {@link Event}s. */
 public sealed interface Action {
@@ -73,6 +75,14 @@
      */
     record ResolveCommit(long ticket, boolean confirmed) implements Action {}
 
+    /**
+     * Ends the wait of a session for its floor.
+     *
+     * @param ticket number given when the floor was requested
+     * @param floor the floor; empty when none could be confirmed in time
+     */
+    record ResolveFloor(long ticket, Optional<LogPosition> floor) implements Action {}
+
     /**
      * Takes a configuration into force on this VM.
      *
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ClusterSystems.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ClusterSystems.java
@@ -25,6 +25,7 @@
  * @param endpoints the known endpoints
  * @param selector chooses endpoints for statements
  * @param confirmer confirms commits
+ * @param floors finds the floors of sessions without a token
  * @param promotion orders promotions
  * @param systems the systems in the order in which the engine runs them
  */
@@ -34,6 +35,7 @@
         EndpointTable endpoints,
         EndpointSelector selector,
         CommitConfirmer confirmer,
+        SessionFloorSystem floors,
         PromotionSystem promotion,
         List<DecisionSystem> systems) {
 
@@ -91,9 +93,10 @@
         PromotionSystem promotion =
                 new PromotionSystem(self, monitor, groups, router, policy, settings, numbers, random);
         MajorityCommitConfirmer confirmer = new MajorityCommitConfirmer(router, endpoints);
+        SessionFloorSystem floors = new SessionFloorSystem(self, homes, endpoints, router, confirmer, numbers);
         EndpointSelector selector =
                 new DefaultEndpointSelector(endpoints, self.dataCentre(), SelectionWaits.DEFAULT, random);
-        List<DecisionSystem> systems = List.of(view, router, monitor, promotion, confirmer, hints);
-        return new ClusterSystems(view, homes, endpoints, selector, confirmer, promotion, systems);
+        List<DecisionSystem> systems = List.of(view, router, monitor, promotion, confirmer, floors, hints);
+        return new ClusterSystems(view, homes, endpoints, selector, confirmer, floors, promotion, systems);
     }
 }
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FloorReply.java
@@ -0,0 +1,22 @@
+package org.hyssopswitch.core.failover;
+
+import java.util.List;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
+
+/**
+ * The answer to a {@link FloorRequest}.
+ *
+ * @param id number of the request
+ * @param floor the confirmed position; empty when none could be confirmed
+ */
+public record FloorReply(long id, List<LogPosition> floor) implements PeerMessage {
+
+    /** Checks that there is one position at most. */
+    public FloorReply {
+        floor = List.copyOf(floor);
+        if (floor.size() > 1) {
+            throw new IllegalArgumentException("a reply must have one floor at most, but has " + floor.size());
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FloorRequest.java
@@ -0,0 +1,12 @@
+package org.hyssopswitch.core.failover;
+
+import org.hyssopswitch.core.identity.EndpointId;
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Asks the home of a primary for a position that a majority confirms after this request arrived.
+ *
+ * @param id number that the reply repeats
+ * @param primary the primary
+ */
+public record FloorRequest(long id, EndpointId primary) implements PeerMessage {}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/MajorityCommitConfirmer.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/MajorityCommitConfirmer.java
@@ -33,6 +33,8 @@
     private final ControlRouter router;
     private final EndpointTable endpoints;
     private final Map<Key, ConfirmationRound> rounds = new LinkedHashMap<>();
+    private final Map<Long, Resolution> resolutions = new LinkedHashMap<>();
+    private long lastInternalTicket;
 
     /**
      * Creates a confirmer.
@@ -50,7 +52,7 @@
             long ticket, EndpointId primary, LogPosition position, long deadlineMillis, long nowMillis, Outbox out) {
         var database = endpoints.databaseOf(primary);
         if (database.isEmpty()) {
-            out.add(new Action.ResolveCommit(ticket, false));
+            resolve(ticket, false, nowMillis, out);
             return;
         }
         Key key = new Key(primary, position.term());
@@ -60,6 +62,19 @@
         pump(round, nowMillis, out);
     }
 
+    /** Confirms for a system of this VM, which gets the result in a callback instead of an action. */
+    void confirm(
+            EndpointId primary,
+            LogPosition position,
+            long deadlineMillis,
+            Resolution resolution,
+            long nowMillis,
+            Outbox out) {
+        long ticket = --lastInternalTicket;
+        resolutions.put(ticket, resolution);
+        confirm(ticket, primary, position, deadlineMillis, nowMillis, out);
+    }
+
     @Override
     public void tick(long nowMillis, Outbox out) {
         for (ConfirmationRound round : List.copyOf(rounds.values())) {
@@ -114,8 +129,25 @@
     }
 
     private void settle(ConfirmationRound round, long nowMillis, Outbox out) {
-        round.takeConfirmed().forEach(ticket -> out.add(new Action.ResolveCommit(ticket, true)));
-        round.takeFailed(nowMillis).forEach(ticket -> out.add(new Action.ResolveCommit(ticket, false)));
+        round.takeConfirmed().forEach(ticket -> resolve(ticket, true, nowMillis, out));
+        round.takeFailed(nowMillis).forEach(ticket -> resolve(ticket, false, nowMillis, out));
+    }
+
+    private void resolve(long ticket, boolean confirmed, long nowMillis, Outbox out) {
+        Resolution resolution = resolutions.remove(ticket);
+        if (resolution == null) {
+            out.add(new Action.ResolveCommit(ticket, confirmed));
+        } else {
+            resolution.resolved(confirmed, nowMillis, out);
+        }
+    }
+
+    /** Takes the result of a confirmation that a system of this VM requested. */
+    @FunctionalInterface
+    interface Resolution {
+
+        /** Called exactly once. */
+        void resolved(boolean confirmed, long nowMillis, Outbox out);
     }
 
     private record Key(EndpointId primary, long term) {}
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/SuiteCluster.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/SuiteCluster.java
@@ -237,6 +237,8 @@
             after(platform.delayMillis, () -> vm.deliver(new Event.VmsListed(live, List.of()), this::now));
         } else if (action instanceof Action.ResolveCommit resolve) {
             workload.resolved(vm, resolve.ticket(), resolve.confirmed());
+        } else if (action instanceof Action.ResolveFloor resolve) {
+            workload.floorFound(resolve.ticket(), resolve.floor());
         }
     }
 
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/SuiteWorkload.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/SuiteWorkload.java
@@ -25,6 +25,7 @@
     private static final int SESSIONS = 12;
     private static final long THINK_MILLIS = 40;
     private static final long NEW_CALLER_MILLIS = 250;
+    private static final long FLOOR_MILLIS = 1_500;
     private static final long GIVE_UP_MILLIS = 3_500;
     private static final long CONFIRM_MILLIS = 2_000;
     private static final RouteDeclaration WRITE = RouteDeclaration.undeclared(SuiteCluster.DATABASE);
@@ -37,6 +38,7 @@
     private final SplittableRandom random;
     private final List<Session> sessions = new ArrayList<>();
     private final Map<Long, Operation> open = new LinkedHashMap<>();
+    private final Map<Long, Operation> floors = new HashMap<>();
     private final Map<Long, Held> held = new HashMap<>();
     private long lastNumber;
     private int lastWrite;
@@ -90,6 +92,14 @@
         }
     }
 
+    void floorFound(long ticket, Optional<LogPosition> floor) {
+        Operation operation = floors.remove(ticket);
+        if (operation != null && open.containsKey(operation.number)) {
+            operation.session.floor = floor;
+            operation.waitsForFloor = false;
+        }
+    }
+
     /** Callers arrive whether or not others wait, so a session that waits long is joined by a new one. */
     private Session orNewCaller(Session session) {
         boolean stuck = session.busy && cluster.now() - session.begunMillis > NEW_CALLER_MILLIS;
@@ -112,12 +122,27 @@
         int write = route.equals(WRITE) ? ++lastWrite : FakeEndpoint.NO_WRITE;
         Operation operation = new Operation(++lastNumber, session, route, write, cluster.now());
         open.put(operation.number, operation);
+        if (route.equals(LOOKUP) && session.floor.isEmpty()) {
+            requestFloor(operation);
+        }
+    }
+
+    private void requestFloor(Operation o) {
+        o.waitsForFloor = true;
+        floors.put(o.number, o);
+        long deadline = cluster.now() + FLOOR_MILLIS;
+        o.entry.run(
+                () -> o.entry.decide(out -> o.entry
+                        .systems
+                        .floors()
+                        .request(o.number, SuiteCluster.DATABASE, deadline, cluster.now(), out)),
+                true);
     }
 
     private void advance(Operation o) {
         if (cluster.now() - o.startedMillis >= GIVE_UP_MILLIS) {
             finish(o, o.sent ? Result.UNKNOWN : Result.NOT_RUN, null);
-        } else if (!o.sent && cluster.now() >= o.retryMillis) {
+        } else if (!o.sent && !o.waitsForFloor && cluster.now() >= o.retryMillis) {
             o.entry.run(() -> dispatch(o), false);
         }
     }
@@ -319,6 +344,7 @@
         private EndpointId endpoint;
         private boolean sent;
         private boolean confirm;
+        private boolean waitsForFloor;
         private int attempt;
         private long retryMillis;
 
