--- /dev/null
+++ b/hyssopswitch-ctl/src/test/java/org/hyssopswitch/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Contract tests of the operators' command line. */
+package org.hyssopswitch.ctl;
