--- /dev/null
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/package-info.java
@@ -0,0 +1,2 @@
+/** Profiles: the deployment and the traffic that a load run imitates. */
+package org.hyssopswitch.load.profile;
