--- /dev/null
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/membership/FakeNetwork.java
@@ -0,0 +1,88 @@
+package org.hyssopswitch.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.hyssopswitch.core.engine.Action;
+import org.hyssopswitch.core.engine.Event;
+import org.hyssopswitch.core.identity.CellId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+
+/** Membership systems that exchange messages by hand, one tick after they were sent. */
+final class FakeNetwork {
+
+    static final long TICK_MILLIS = 50;
+
+    final Set<VmAddress> down = new HashSet<>();
+    final Set<String> cutPairs = new HashSet<>();
+    List<VmAddress> listed = List.of();
+    List<VmAddress> listedLeaving = List.of();
+    boolean platformDown;
+    int listCalls;
+    int messages;
+    int mostUpdates;
+
+    private final Map<VmAddress, MembershipSystem> systems = new LinkedHashMap<>();
+    private final SplittableRandom random = new SplittableRandom(7);
+    private List<Sent> inFlight = new ArrayList<>();
+    private long nowMillis;
+
+    static VmAddress vm(String name, String cell, long incarnation) {
+        return new VmAddress(new VmId(name), incarnation, new DataCentreId(cell), new CellId(cell), "127.0.0.1", 7000);
+    }
+
+    MembershipSystem start(VmAddress address, VmAddress... seeds) {
+        MembershipSystem system =
+                new MembershipSystem(address, List.of(seeds), MembershipSettings.DEFAULT, random.split());
+        systems.put(address, system);
+        return system;
+    }
+
+    void run(long millis) {
+        long end = nowMillis + millis;
+        while (nowMillis < end) {
+            nowMillis += TICK_MILLIS;
+            List<Sent> arriving = inFlight;
+            inFlight = new ArrayList<>();
+            arriving.forEach(this::arrive);
+            systems.forEach((address, system) -> {
+                if (!down.contains(address)) {
+                    system.tick(nowMillis, action -> perform(address, action));
+                }
+            });
+        }
+    }
+
+    private void perform(VmAddress from, Action action) {
+        if (action instanceof Action.ListVms) {
+            listCalls++;
+            if (!platformDown) {
+                systems.get(from).handle(new Event.VmsListed(listed, listedLeaving), nowMillis, a -> perform(from, a));
+            }
+        } else if (action instanceof Action.SendMessage send) {
+            messages++;
+            inFlight.add(new Sent(from, send));
+        }
+    }
+
+    private void arrive(Sent sent) {
+        VmAddress from = sent.from();
+        VmAddress to = sent.send().to();
+        String pair = from.vm() + "-" + to.vm();
+        if (!systems.containsKey(to) || down.contains(to) || down.contains(from) || cutPairs.contains(pair)) {
+            return;
+        }
+        if (sent.send().message() instanceof MembershipPing ping) {
+            mostUpdates = Math.max(mostUpdates, ping.updates().size());
+        }
+        systems.get(to).handle(new Event.MessageReceived(from, sent.send().message()), nowMillis, a -> perform(to, a));
+    }
+
+    private record Sent(VmAddress from, Action.SendMessage send) {}
+}
