--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/YamlDefaults.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/YamlDefaults.java
@@ -48,7 +48,7 @@
 
     @Override
     public String defaultValue(ArgSpec argument) {
-        if (!(argument instanceof OptionSpec option)) {
+        if (!(argument instanceof OptionSpec option) || option.command().findOption(SETTINGS) == null) {
             return null;
         }
         requireKnownKeys(option);
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/EndpointServer.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/EndpointServer.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.Future;
+import java.util.concurrent.locks.LockSupport;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -23,6 +24,8 @@
 final class EndpointServer {
 
     private static final String SESSION = "session";
+    private static final int BIND_ATTEMPTS = 100;
+    private static final long BIND_PAUSE_NANOS = 10_000_000;
 
     private final EndpointRuntime runtime;
     private final TCPNIOTransport transport;
@@ -72,14 +75,9 @@
         if (listener.isPresent()) {
             return;
         }
-        try {
-            TCPNIOServerConnection bound =
-                    transport.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-            port = ((InetSocketAddress) bound.getLocalAddress()).getPort();
-            listener = Optional.of(bound);
-        } catch (IOException e) {
-            throw new HyssopException("port " + port + " cannot be bound", e);
-        }
+        TCPNIOServerConnection bound = bind();
+        port = ((InetSocketAddress) bound.getLocalAddress()).getPort();
+        listener = Optional.of(bound);
     }
 
     /** Refuses new connections until {@link #listen}. */
@@ -96,6 +94,20 @@
         }
     }
 
+    /** Binds the port; retries while the previous listener of the port is still being closed by its selector. */
+    private TCPNIOServerConnection bind() {
+        IOException last = new IOException();
+        for (int attempt = 0; attempt < BIND_ATTEMPTS; attempt++) {
+            try {
+                return transport.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            } catch (IOException e) {
+                last = e;
+                LockSupport.parkNanos(BIND_PAUSE_NANOS);
+            }
+        }
+        throw new HyssopException("port " + port + " cannot be bound", last);
+    }
+
     /** Hands bytes to the session of their connection. */
     private final class SessionFilter extends BaseFilter {
 
--- a/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/StandinMainTests.java
+++ b/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/StandinMainTests.java
@@ -60,6 +60,14 @@
         assertTrue(errors.toString().contains("the key slotz is not known"), errors::toString);
     }
 
+    @Test
+    void refusesAWrongValueOfTheSettingsFile() throws IOException {
+        Path file = Files.writeString(directory.resolve("group.yaml"), "database: stock\nslots: 0\n");
+        StringWriter errors = new StringWriter();
+        assertEquals(2, run(errors, "group", "--settings", file.toString()));
+        assertTrue(errors.toString().contains("but are 0 and 34"), errors::toString);
+    }
+
     @Test
     void takesSettingsFromTheFileUnlessAnOptionIsGiven() throws IOException {
         Path file = Files.writeString(directory.resolve("group.yaml"), "database: stock\nendpoints: 5\n");
--- a/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/group/PromotionTests.java
+++ b/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/group/PromotionTests.java
@@ -234,6 +234,20 @@
         }
     }
 
+    /** The port of a closed listener stays in use until its selector has run. */
+    @Test
+    void restartsOnTheSamePortRightAfterACrash() throws SQLException {
+        int port = group.port(first);
+        for (int i = 0; i < 1000; i++) {
+            group.faults().crash(first);
+            group.faults().restart(first);
+        }
+        assertEquals(port, group.port(first));
+        try (Connection connection = writer(group, 0)) {
+            assertEquals(List.of("1"), rows(connection, "SELECT 1"));
+        }
+    }
+
     private void promoteSecond() {
         fence(second, 2);
         fence(third, 2);
