Keep connections to the stand-in platform open between calls

An idle or counted-out connection closed by the server looks like a lost answer. Also tested: 200 waiting watches hold no thread each, and 1000 updates in a row.

--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/StandinMain.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/StandinMain.java
@@ -1,6 +1,8 @@
 package org.hyssopswitch.standin;
 
 import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.hyssopswitch.core.failure.HyssopException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -16,6 +18,9 @@
 
     private static final String LOG_SETTING = "log4j2.configurationFile";
 
+    /** Held strongly, because the level of a logger that is collected is lost. */
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
+
     private StandinMain() {}
 
     /**
@@ -27,6 +32,7 @@
         if (System.getProperty(LOG_SETTING) == null) {
             System.setProperty(LOG_SETTING, "classpath:log4j2-standin.xml");
         }
+        GRIZZLY.setLevel(Level.WARNING);
         System.exit(execute(args));
     }
 
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/platform/PlatformServer.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/platform/PlatformServer.java
@@ -19,6 +19,7 @@
 
     private static final Logger LOG = LogManager.getLogger(PlatformServer.class);
     private static final String HOST = "127.0.0.1";
+    private static final int UNLIMITED = -1;
 
     private final ScheduledExecutorService timer;
     private final PlatformFaults faults;
@@ -36,6 +37,9 @@
         this.faults = new PlatformFaults(settings.callsPerSecond());
         this.handler = new PlatformHandler(settings, faults, timer);
         this.listener = new NetworkListener("platform", HOST, settings.port());
+        // A connection closed between calls would look like a lost answer to a client that has just sent the next one.
+        listener.getKeepAlive().setIdleTimeoutInSeconds(UNLIMITED);
+        listener.getKeepAlive().setMaxRequestsCount(UNLIMITED);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(handler, "/");
     }
--- a/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/platform/PlatformContractTests.java
+++ b/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/platform/PlatformContractTests.java
@@ -36,6 +36,7 @@
 
     private static final long TIMEOUT_MILLIS = 10_000;
     private static final long SHORT_TIMEOUT_MILLIS = 300;
+    private static final int WATCHES = 200;
     private static final int MAX_ANSWER_BYTES = 4 << 20;
 
     private final List<PlatformClient> clients = new ArrayList<>();
@@ -140,6 +141,36 @@
         assertEquals(0, platform.statistics().waiting());
     }
 
+    @Test
+    void holdsNoThreadForAWaitingWatch() {
+        PlatformClient client = client("vm");
+        List<CompletionStage<Either<PlatformFailure, StoredObject>>> watches = new ArrayList<>();
+        int before = Thread.activeCount();
+        for (int i = 0; i < WATCHES; i++) {
+            watches.add(client.watch("a/" + i, 0, TIMEOUT_MILLIS));
+        }
+        while (platform.statistics().waiting() < WATCHES) {
+            Thread.onSpinWait();
+        }
+        int added = Thread.activeCount() - before;
+        assertTrue(added < WATCHES / 2, () -> added + " threads for " + WATCHES + " watches");
+        assertTrue(await(client.read("b")).isRight());
+        for (int i = 0; i < WATCHES; i++) {
+            platform.update("a/" + i, 0, bytes("1"));
+        }
+        watches.forEach(w -> assertTrue(await(w).get().version() > 0));
+    }
+
+    @Test
+    void keepsAConnectionOverManyCalls() {
+        PlatformClient client = client("vm");
+        long version = 0;
+        for (int i = 0; i < 1_000; i++) {
+            version = await(client.update("a", version, bytes("" + i))).get().version();
+        }
+        assertEquals(1_000, version);
+    }
+
     @Test
     void listsVmsAsLiveLeavingAndRemoved() {
         VmAddress vm = new VmAddress(
