Encode subtrees by copies from the version that the receiver has

A change of a few entries spread over a large subtree left nearly all of it between the common beginning and end: 5 changed accounts of a team with 300 databases took 104521 bytes.

--- /dev/null
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Measures ways to exchange configurations between VMs. */
+package org.hyssopswitch.bench.configuration;
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/BlockMatcher.java
@@ -0,0 +1,93 @@
+package org.hyssopswitch.core.configuration;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Finds the parts of a value that an older one has: blocks of the older value are looked up by a rolling hash at every
+ * position of the value, and a match is extended both ways.
+ */
+final class BlockMatcher {
+
+    private static final int BLOCK_BYTES = 24;
+    private static final int FACTOR = 0x01000193;
+
+    private final byte[] base;
+    private final byte[] value;
+    private final Map<Integer, Integer> blocks = new HashMap<>();
+    private final int topFactor;
+
+    BlockMatcher(byte[] base, byte[] value) {
+        this.base = base;
+        this.value = value;
+        int factor = 1;
+        for (int i = 1; i < BLOCK_BYTES; i++) {
+            factor *= FACTOR;
+        }
+        this.topFactor = factor;
+        for (int offset = 0; offset + BLOCK_BYTES <= base.length; offset += BLOCK_BYTES) {
+            blocks.putIfAbsent(hash(base, offset), offset);
+        }
+    }
+
+    /** Writes a copy for each match, in order; what lies between is left to literals. */
+    void matchInto(DeltaWriter writer) {
+        int position = 0;
+        int hash = value.length >= BLOCK_BYTES ? hash(value, 0) : 0;
+        while (position + BLOCK_BYTES <= value.length) {
+            int found = find(position, hash, writer.shift());
+            if (found < 0) {
+                hash = roll(hash, position);
+                position++;
+                continue;
+            }
+            int back = commonBefore(found, position, position - writer.written());
+            int length = commonAfter(found, position);
+            writer.copy(found - back, position - back, back + length);
+            position += length;
+            hash = position + BLOCK_BYTES <= value.length ? hash(value, position) : 0;
+        }
+    }
+
+    /** The place in the base of the block at a position, or -1; a place that goes on from the last copy is preferred. */
+    private int find(int position, int hash, int shift) {
+        if (isBlockAt(position + shift, position)) {
+            return position + shift;
+        }
+        Integer offset = blocks.get(hash);
+        return offset != null && isBlockAt(offset, position) ? offset : -1;
+    }
+
+    private boolean isBlockAt(int offset, int position) {
+        return offset >= 0
+                && offset + BLOCK_BYTES <= base.length
+                && Arrays.equals(base, offset, offset + BLOCK_BYTES, value, position, position + BLOCK_BYTES);
+    }
+
+    private int commonAfter(int offset, int position) {
+        int mismatch = Arrays.mismatch(base, offset, base.length, value, position, value.length);
+        return mismatch < 0 ? value.length - position : mismatch;
+    }
+
+    private int commonBefore(int offset, int position, int limit) {
+        int length = 0;
+        while (length < limit && length < offset && base[offset - 1 - length] == value[position - 1 - length]) {
+            length++;
+        }
+        return length;
+    }
+
+    private int roll(int hash, int position) {
+        int next = position + BLOCK_BYTES;
+        return next < value.length ? (hash - value[position] * topFactor) * FACTOR + value[next] : 0;
+    }
+
+    private static int hash(byte[] bytes, int offset) {
+        int hash = 0;
+        for (int i = offset; i < offset + BLOCK_BYTES; i++) {
+            hash = hash * FACTOR + bytes[i];
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/DeltaReader.java
@@ -0,0 +1,78 @@
+package org.hyssopswitch.core.configuration;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.zip.DataFormatException;
+
+/** Reads what {@link DeltaWriter} writes; lengths and places beyond their bounds are refused. */
+final class DeltaReader {
+
+    private static final int MAX_SHIFT = 28;
+
+    private final byte[] base;
+    private final ByteBuffer in;
+    private final ByteArrayOutputStream value = new ByteArrayOutputStream();
+    private int baseEnd;
+
+    private DeltaReader(byte[] base, byte[] delta) {
+        this.base = base;
+        this.in = ByteBuffer.wrap(delta);
+    }
+
+    /**
+     * Reads a delta.
+     *
+     * @throws DataFormatException if it does not fit the base or is damaged
+     * @throws BufferUnderflowException if it ends early
+     */
+    static byte[] read(byte[] base, byte[] delta) throws DataFormatException {
+        DeltaReader reader = new DeltaReader(base, delta);
+        reader.literal();
+        while (reader.in.hasRemaining()) {
+            reader.copy();
+            reader.literal();
+        }
+        return reader.value.toByteArray();
+    }
+
+    private void literal() throws DataFormatException {
+        int length = length(in.remaining());
+        value.write(in.array(), in.position(), length);
+        in.position(in.position() + length);
+    }
+
+    private void copy() throws DataFormatException {
+        int length = length(base.length);
+        int offset = baseEnd + unzigzag(number());
+        if (offset < 0 || offset > base.length - length) {
+            throw new DataFormatException("a copy lies outside the base");
+        }
+        value.write(base, offset, length);
+        baseEnd = offset + length;
+    }
+
+    private int length(int limit) throws DataFormatException {
+        int length = number();
+        if (length < 0 || length > limit || value.size() + length > SubtreeDelta.MAX_VALUE_BYTES) {
+            throw new DataFormatException("a length is out of bounds: " + length);
+        }
+        return length;
+    }
+
+    private int number() throws DataFormatException {
+        int number = 0;
+        for (int shift = 0; shift <= MAX_SHIFT; shift += 7) {
+            byte next = in.get();
+            number |= (next & 0x7f) << shift;
+            if (next >= 0) {
+                return number;
+            }
+        }
+        throw new DataFormatException("a number is too long");
+    }
+
+    private static int unzigzag(int number) {
+        return (number >>> 1) ^ -(number & 1);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/DeltaWriter.java
@@ -0,0 +1,63 @@
+package org.hyssopswitch.core.configuration;
+
+import java.io.ByteArrayOutputStream;
+
+/**
+ * Writes a delta: pairs of a literal and a copy, each with its length in front; the place of a copy is relative to the
+ * end of the last one.
+ */
+final class DeltaWriter {
+
+    private final byte[] value;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private int written;
+    private int baseEnd;
+
+    DeltaWriter(byte[] value) {
+        this.value = value;
+    }
+
+    /** Bytes of the value that are written so far. */
+    int written() {
+        return written;
+    }
+
+    /** What is added to a position of the value to get to its place in the base if the last copy went on. */
+    int shift() {
+        return baseEnd - written;
+    }
+
+    /** Writes the literal up to a position and a copy of the bytes from there. */
+    void copy(int offset, int position, int length) {
+        literal(position);
+        writeNumber(length);
+        writeNumber(zigzag(offset - baseEnd));
+        written = position + length;
+        baseEnd = offset + length;
+    }
+
+    /** Writes what is left as a literal and returns the delta. */
+    byte[] finish() {
+        literal(value.length);
+        return out.toByteArray();
+    }
+
+    private void literal(int end) {
+        writeNumber(end - written);
+        out.write(value, written, end - written);
+        written = end;
+    }
+
+    private void writeNumber(int number) {
+        int rest = number;
+        while ((rest & ~0x7f) != 0) {
+            out.write((rest & 0x7f) | 0x80);
+            rest >>>= 7;
+        }
+        out.write(rest);
+    }
+
+    private static int zigzag(int number) {
+        return (number << 1) ^ (number >> 31);
+    }
+}
