--- a/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/configuration/ConfigurationExchange.java
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/configuration/ConfigurationExchange.java
@@ -13,7 +13,7 @@
     private static final long SEED = 20_261_203;
     private static final int TEAMS = 20;
     private static final int SAMPLES = 40;
-    private static final int[] DATABASES = {3, 30, 300};
+    private static final List<Integer> DATABASES = List.of(3, 30, 300);
     private static final int[] CHANGES = {1, 5};
 
     private ConfigurationExchange() {}
@@ -24,27 +24,29 @@
      * @param args unused
      */
     public static void main(String[] args) {
-        print(System.out);
+        print(System.out, DATABASES, SAMPLES);
     }
 
     /**
      * Prints the table.
      *
      * @param out takes the table
+     * @param sizes numbers of databases of a team
+     * @param samples number of changes
      */
-    public static void print(PrintStream out) {
-        out.printf("seed %d, %d teams, mean of %d changes%n", SEED, TEAMS, SAMPLES);
+    public static void print(PrintStream out, List<Integer> sizes, int samples) {
+        out.printf("seed %d, %d teams, mean of %d changes%n", SEED, TEAMS, samples);
         out.printf(
                 "| databases of a team | accounts changed | way | rounds | bytes | of the least |%n|---|---|---|---|---|---|%n");
-        for (int databases : DATABASES) {
+        for (int databases : sizes) {
             for (int changes : CHANGES) {
-                printCase(out, databases, changes);
+                printCase(out, databases, changes, samples);
             }
         }
     }
 
-    private static void printCase(PrintStream out, int databases, int changes) {
-        List<ExchangeSample> samples = samples(databases, changes);
+    private static void printCase(PrintStream out, int databases, int changes, int count) {
+        List<ExchangeSample> samples = samples(databases, changes, count);
         List<ExchangeMethod> methods = ExchangeMethods.all();
         double[] means = methods.stream()
                 .mapToDouble(m -> samples.stream().mapToLong(m::bytes).average().orElse(0))
@@ -63,7 +65,7 @@
         }
     }
 
-    private static List<ExchangeSample> samples(int databases, int changes) {
+    private static List<ExchangeSample> samples(int databases, int changes, int count) {
         SampleTeams teams = new SampleTeams(SEED + databases);
         TeamConfigurationCodec codec = new TeamConfigurationCodec();
         List<byte[]> others = new ArrayList<>();
@@ -72,7 +74,7 @@
         }
         TeamConfiguration team = teams.create("team-0", databases);
         List<ExchangeSample> result = new ArrayList<>();
-        for (int i = 0; i < SAMPLES; i++) {
+        for (int i = 0; i < count; i++) {
             TeamConfiguration next = teams.change(team, changes);
             result.add(new ExchangeSample(others, codec.encode(team), codec.encode(next)));
             team = next;
--- a/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/configuration/ConfigurationSpread.java
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/configuration/ConfigurationSpread.java
@@ -32,7 +32,7 @@
     private static final long SEED = 20_261_203;
     private static final int[] SIZES = {6, 12, 24, 48};
     private static final long STEP_MILLIS = 20;
-    private static final long WATCH_MILLIS = 20_000;
+    private static final long WATCH_MILLIS = 5_000;
     private static final long CALM_MILLIS = 120_000;
     private static final int CHANGES = 20;
     private static final int DATABASES = 30;
--- /dev/null
+++ b/hyssopswitch-bench/src/test/java/org/hyssopswitch/bench/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the measurements of configurations. */
+package org.hyssopswitch.bench.configuration;
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/PlatformCalls.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/PlatformCalls.java
@@ -11,6 +11,7 @@
 final class PlatformCalls {
 
     private static final long WATCH_MILLIS = 20_000;
+    private static final long PREFIX_WATCH_MILLIS = 5_000;
 
     private final PlatformClient platform;
     private final Executor loop;
@@ -34,7 +35,7 @@
 
     void watchPrefix(Action.WatchPrefix action) {
         answer(
-                platform.watchPrefix(action.prefix(), action.afterVersion(), WATCH_MILLIS),
+                platform.watchPrefix(action.prefix(), action.afterVersion(), PREFIX_WATCH_MILLIS),
                 r -> events.accept(new Event.PrefixAnswered(action.call(), r)));
     }
 
--- a/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/KeySettings.java
+++ b/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/KeySettings.java
@@ -13,7 +13,7 @@
  */
 public record KeySettings(
         @DefaultValue("serve") WhenStale whenStale,
-        @DefaultValue("300000") @Min(1_000) @Max(86_400_000) long maxAgeMillis) {
+        @DefaultValue("300000") @Min(15_000) @Max(86_400_000) long maxAgeMillis) {
 
     /** The policy that these settings declare. */
     public StalenessPolicy policy() {
--- a/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/PlatformSettings.java
+++ b/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/PlatformSettings.java
@@ -12,13 +12,9 @@
  * @param url base URL
  * @param credential bearer credential of the VMs
  * @param callTimeoutMillis milliseconds that a call may take beyond the wait it asked for
- * @param watchWaitMillis milliseconds that one watch waits for a change
  */
 public record PlatformSettings(
-        URI url,
-        Secret credential,
-        @DefaultValue("2000") @Min(50) @Max(60_000) long callTimeoutMillis,
-        @DefaultValue("20000") @Min(100) @Max(300_000) long watchWaitMillis) {
+        URI url, Secret credential, @DefaultValue("2000") @Min(50) @Max(60_000) long callTimeoutMillis) {
 
     /** Checks the URL. */
     public PlatformSettings {
