--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
@@ -27,6 +27,7 @@
 final class SlotOwnership {
 
     private static final long SCAN_INTERVAL_MILLIS = 200;
+    private static final long STABLE_VIEW_MILLIS = 1_000;
     private static final long REREAD_MILLIS = 5_000;
     private static final int MAX_CALLS = 64;
     private static final long BACKOFF_MILLIS = 200;
@@ -41,6 +42,8 @@
     private final Map<Long, Call> calls = new HashMap<>();
     private SplitTable splits = SplitTable.EMPTY;
     private long nextScanMillis;
+    private long viewVersion = -1;
+    private long viewMillis;
     private boolean leaving;
 
     SlotOwnership(
@@ -138,6 +141,10 @@
             return;
         }
         nextScanMillis = nowMillis + SCAN_INTERVAL_MILLIS;
+        if (viewVersion != view.version()) {
+            viewVersion = view.version();
+            viewMillis = nowMillis;
+        }
         for (SlotState state : slots) {
             if (calls.size() < MAX_CALLS && state.due(nowMillis)) {
                 advance(state, lender, nowMillis, out);
@@ -163,7 +170,7 @@
 
     private void advance(SlotState state, ShareLender lender, long nowMillis, Outbox out) {
         if (state.needsRead()) {
-            if (state.owned() || (!leaving && isCandidate(state.slot()))) {
+            if (state.owned() || (!leaving && isCandidate(state.slot(), nowMillis))) {
                 read(state, view.self().dataCentre(), out);
             }
             return;
@@ -175,7 +182,9 @@
             }
         } else if (state.owned()) {
             advanceVersions(state, record, lender, nowMillis, out);
-        } else if (isVacant(record) && isCandidate(state.slot()) && splits.version() >= record.settledVersion()) {
+        } else if (isVacant(record)
+                && isCandidate(state.slot(), nowMillis)
+                && splits.version() >= record.settledVersion()) {
             update(state, takeOver(record), nowMillis, out);
         }
     }
@@ -239,10 +248,13 @@
         return other.epoch() == 0 || (other.settledVersion() >= version && other.settledVersion() <= splits.version());
     }
 
-    private boolean isCandidate(int slot) {
-        return locator.candidate(view.self().dataCentre(), slot)
-                .filter(c -> c.vm().equals(view.self().vm()))
-                .isPresent();
+    /** A VM that has just started takes itself for the only candidate, so the view must have been stable for a while. */
+    private boolean isCandidate(int slot, long nowMillis) {
+        boolean stable = nowMillis - viewMillis >= STABLE_VIEW_MILLIS;
+        return stable
+                && locator.candidate(view.self().dataCentre(), slot)
+                        .filter(c -> c.vm().equals(view.self().vm()))
+                        .isPresent();
     }
 
     private boolean isVacant(SlotRecord record) {
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/LimitFleet.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/LimitFleet.java
@@ -65,6 +65,11 @@
         return now;
     }
 
+    /** Changes with the members that are candidates. */
+    long viewVersion() {
+        return ended.size() + 1_000L * leaving.size();
+    }
+
     /** Messages that VMs sent to other VMs. */
     long messages() {
         return messages;
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/LimitVm.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/LimitVm.java
@@ -71,7 +71,7 @@
 
     @Override
     public long version() {
-        return fleet.now();
+        return fleet.viewVersion();
     }
 
     @Override
