--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmCore.java
@@ -28,7 +28,7 @@
  * @param retries decides on retries
  * @param queues creates statement queues
  * @param freshness the refusal while the configuration is too old for keys to be trusted
- * @param ready whether the configuration is known well enough to serve callers; asked on any thread
+ * @param ready whether the configuration is known well enough to serve callers
  * @param status reports configuration, membership and limits as plain values
  * @param departure what to do when the VM begins to shut down
  */
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmMessages.java
@@ -9,6 +9,11 @@
 import org.hyssopswitch.core.failover.FloorReply;
 import org.hyssopswitch.core.failover.FloorRequest;
 import org.hyssopswitch.core.failover.GroupReports;
+import org.hyssopswitch.core.limit.SettleRequest;
+import org.hyssopswitch.core.limit.ShareGrant;
+import org.hyssopswitch.core.limit.ShareRecall;
+import org.hyssopswitch.core.limit.ShareRequest;
+import org.hyssopswitch.core.limit.SlotRedirect;
 import org.hyssopswitch.core.membership.CellViewReply;
 import org.hyssopswitch.core.membership.CellViewRequest;
 import org.hyssopswitch.core.membership.MembershipAck;
@@ -36,6 +41,11 @@
                 .register(21, ConfigurationAnnouncement.class)
                 .register(22, ConfigurationRequest.class)
                 .register(23, ConfigurationPage.class)
+                .register(30, ShareRequest.class)
+                .register(31, ShareGrant.class)
+                .register(32, ShareRecall.class)
+                .register(33, SettleRequest.class)
+                .register(34, SlotRedirect.class)
                 .register(40, ControlCall.class)
                 .register(41, ControlAnswer.class)
                 .register(42, GroupReports.class)
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -54,6 +55,7 @@
     private final AtomicReference<PeerListener> inbox = new AtomicReference<>(new NoListener());
     private Option<OperationsServer> operations = Option.none();
     private volatile boolean ready;
+    private volatile boolean configured;
     private volatile boolean closed;
     private int callerPort;
 
@@ -121,6 +123,11 @@
         LOG.info("event=vm_started vm={} caller_port={} operations_port={}", self().vm(), callerPort, operationsPort());
     }
 
+    /** Milliseconds of the monotonic clock that all VMs of this process share. */
+    public static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     /** The address of the VM, with the port of its peer listener. */
     public VmAddress self() {
         return transport.self();
@@ -138,7 +145,7 @@
 
     /** Tells whether the VM takes new callers. */
     public boolean ready() {
-        return ready && !closed && core.ready().get();
+        return ready && !closed && configured;
     }
 
     /** The metrics. */
@@ -243,6 +250,7 @@
         if (!closed) {
             loop.schedule(options.tickMillis(), this::tick);
             driver.tick();
+            configured = core.ready().get();
         }
     }
 
--- /dev/null
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/WholeFleetTests.java
@@ -0,0 +1,122 @@
+package org.hyssopswitch.proxy.vm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.sql.Connection;
+import java.sql.SQLException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssopswitch.core.identity.EndpointId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole path with membership, configuration, limits and failover at work. */
+class WholeFleetTests {
+
+    private static final int PATIENCE = 150;
+
+    private WholeFleet fleet;
+
+    @BeforeEach
+    void start() {
+        fleet = new WholeFleet();
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void servesFromEveryVmAndReadsItsOwnWrites() throws SQLException {
+        for (int vm = 0; vm < fleet.size(); vm++) {
+            try (Connection connection = await(vm)) {
+                for (int i = 0; i < 10; i++) {
+                    String key = "k-" + vm + "-" + i;
+                    TestFleet.execute(connection, "INSERT INTO kv (key, value) VALUES ('" + key + "', 'a')");
+                    String read = "SELECT key FROM kv WHERE key = '" + key + "' /* route='validity' */";
+                    assertEquals(List.of(key), TestFleet.rows(connection, read));
+                }
+            }
+        }
+    }
+
+    @Test
+    void keepsEveryAcknowledgedWriteWhenThePrimaryCrashes() throws SQLException {
+        EndpointId first = fleet.group().primary().orElseThrow();
+        List<String> acknowledged = new ArrayList<>();
+        write("before", acknowledged);
+        fleet.group().faults().crash(first);
+        for (int i = 0; i < 10; i++) {
+            write("after-" + i, acknowledged);
+        }
+        assertTrue(acknowledged.stream().anyMatch(a -> a.startsWith("after")), "no write after the crash");
+        try (Connection connection = await(0)) {
+            List<String> rows = TestFleet.rows(connection, "SELECT key FROM kv");
+            assertTrue(rows.containsAll(acknowledged), rows + " must contain " + acknowledged);
+        }
+    }
+
+    @Test
+    void reportsItsStateOverHttp() throws Exception {
+        try (Connection connection = await(0)) {
+            TestFleet.rows(connection, "SELECT 1");
+        }
+        assertEquals("ok\n", get("/live").body());
+        assertEquals("ok\n", get("/ready").body());
+        String status = get("/status").body();
+        for (String field : List.of("configurationVersion", "configurationAgeMillis", "members", "homes", "role")) {
+            assertTrue(status.contains("\"" + field + "\""), status);
+        }
+        String metrics = get("/metrics").body();
+        assertTrue(metrics.contains("account.school.millis"), metrics);
+        assertTrue(!metrics.contains(WholeFleet.KEY) && !status.contains(WholeFleet.KEY));
+    }
+
+    private HttpResponse<String> get(String path) throws Exception {
+        URI uri = URI.create("http://127.0.0.1:" + fleet.vm(0).operationsPort() + path);
+        return HttpClient.newHttpClient()
+                .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void write(String key, List<String> acknowledged) {
+        for (int vm = 0; vm < fleet.size(); vm++) {
+            String row = key + "-" + vm;
+            try (Connection connection = await(vm)) {
+                TestFleet.execute(connection, "INSERT INTO kv (key, value) VALUES ('" + row + "', 'a')");
+                acknowledged.add(row);
+            } catch (SQLException e) {
+                // Refused or unknown while the primary is away; only acknowledged writes count.
+                acknowledged.remove(row);
+            }
+        }
+    }
+
+    /** Connects once the VM has learnt the configuration. */
+    private Connection await(int vm) throws SQLException {
+        SQLException last = new SQLException("never tried");
+        for (int i = 0; i < PATIENCE; i++) {
+            try {
+                return fleet.connect(vm);
+            } catch (SQLException e) {
+                last = e;
+                pause();
+            }
+        }
+        throw last;
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
