--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
@@ -146,11 +146,13 @@
             refuse(denied.get());
             return;
         }
+        SessionIdentity payer =
+                identity.keyed() ? identity : SessionIdentity.open(context.configuration(), database.get());
         StartupOptions options = new StartupOptions(parameters);
         Either<Refusal, Option<LogPosition>> floor = options.sessionToken()
                 .map(t -> SessionToken.parse(t, database.get()).map(s -> Option.some(s.floor())))
                 .getOrElse(Either.right(Option.none()));
-        floor.peek(f -> open(identity, database.get(), options, f)).peekLeft(this::refuse);
+        floor.peek(f -> open(payer, database.get(), options, f)).peekLeft(this::refuse);
     }
 
     private void open(
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/SessionIdentity.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/SessionIdentity.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.proxy.entry;
 
 import io.vavr.control.Option;
+import io.vavr.control.Try;
 import org.hyssopswitch.core.configuration.AccountDeclaration;
 import org.hyssopswitch.core.configuration.Configuration;
 import org.hyssopswitch.core.configuration.KeyVerifier;
@@ -22,6 +23,23 @@
     /** Stands for callers that have not logged in, in metrics. */
     static final ClientAccountId NOBODY = new ClientAccountId("nobody");
 
+    /**
+     * The identity of a caller without a key: the client account {@code <team>.open} of the team that owns the
+     * database, whose rate all such callers share.
+     *
+     * @param configuration the configuration in force
+     * @param database the database of the session
+     */
+    static SessionIdentity open(Configuration configuration, DatabaseId database) {
+        Option<ClientAccountId> account = Option.ofOptional(configuration.teams().values().stream()
+                        .filter(t -> t.databases().stream().anyMatch(d -> d.id().equals(database)))
+                        .findFirst())
+                .flatMap(t ->
+                        Try.of(() -> new ClientAccountId(t.team() + "." + OPEN)).toOption())
+                .filter(a -> configuration.account(a).isPresent());
+        return new SessionIdentity(account.getOrElse(OPEN), Option.none());
+    }
+
     boolean keyed() {
         return key.isDefined();
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/DefaultVmCoreFactory.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/DefaultVmCoreFactory.java
@@ -99,9 +99,9 @@
         report.put("configurationHighestKnownVersion", configuration.highestKnownVersion());
         report.put("configurationAgeMillis", configuration.ageMillis(clock.getAsLong()));
         report.put("keysTrustedForMillis", staleness.maxAgeMillis());
-        report.put(
-                "rejectedTeams",
-                configuration.rejected().keySet().stream().map(Object::toString).toList());
+        Map<String, Object> rejected = new LinkedHashMap<>();
+        configuration.rejected().forEach((team, failure) -> rejected.put(team.value(), failure.describe()));
+        report.put("rejectedTeams", rejected);
         report.put(
                 "members",
                 cluster.membership().live(self.cell()).stream()
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/WholeFleet.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/WholeFleet.java
@@ -2,7 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Option;
+import java.io.IOException;
 import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.sql.Connection;
 import java.sql.DriverManager;
@@ -44,7 +48,7 @@
 final class WholeFleet implements AutoCloseable {
 
     static final String KEY = "school-key";
-    private static final String DATABASE = "certificates";
+    private static final String DATABASE = "mare-alta.certificates";
     private static final String TOKEN = "vm-token";
     private static final List<String> DATA_CENTRES = List.of("recife", "fortaleza", "salvador");
     private static final byte[] SECRET = "0123456789abcdef0123".getBytes(StandardCharsets.UTF_8);
@@ -77,9 +81,24 @@
         return vms.size();
     }
 
+    /** What a VM reports, for the message of a failed test. */
+    String status(int vm) {
+        try {
+            URI uri = URI.create("http://127.0.0.1:" + vms.get(vm).operationsPort() + "/status");
+            return HttpClient.newHttpClient()
+                    .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+                    .body();
+        } catch (IOException e) {
+            return e.toString();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return e.toString();
+        }
+    }
+
     Connection connect(int vm) throws SQLException {
         Properties properties = new Properties();
-        properties.setProperty("user", "school");
+        properties.setProperty("user", "mare-alta.school");
         properties.setProperty("password", KEY);
         properties.setProperty("socketTimeout", "30");
         return DriverManager.getConnection(
@@ -103,7 +122,7 @@
                     endpoint, new DataCentreId(dc), new CellId(dc), "127.0.0.1", group.port(endpoint), false));
         }
         AccountDeclaration school = new AccountDeclaration(
-                new ClientAccountId("school"),
+                new ClientAccountId("mare-alta.school"),
                 new Rate(10_000, 10_000),
                 List.of(database),
                 List.of(ScramUtils.derive(new KeyId("k1"), KEY, SECRET, 4_096)));
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/WholeFleetTests.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/WholeFleetTests.java
@@ -75,7 +75,7 @@
             assertTrue(status.contains("\"" + field + "\""), status);
         }
         String metrics = get("/metrics").body();
-        assertTrue(metrics.contains("account.school.millis"), metrics);
+        assertTrue(metrics.contains("account.mare-alta.school.millis"), metrics);
         assertTrue(!metrics.contains(WholeFleet.KEY) && !status.contains(WholeFleet.KEY));
     }
 
@@ -98,18 +98,20 @@
         }
     }
 
-    /** Connects once the VM has learnt the configuration. */
+    /** Connects once the VM has learnt the configuration and has been lent a share of the account's rate. */
     private Connection await(int vm) throws SQLException {
         SQLException last = new SQLException("never tried");
         for (int i = 0; i < PATIENCE; i++) {
             try {
-                return fleet.connect(vm);
+                Connection connection = fleet.connect(vm);
+                TestFleet.rows(connection, "SELECT 1");
+                return connection;
             } catch (SQLException e) {
                 last = e;
                 pause();
             }
         }
-        throw last;
+        throw new SQLException(fleet.status(vm), last.getSQLState(), last);
     }
 
     private static void pause() {
