Replace a primary that no VM can reach, and learn contacts from messages

Cause: when all VMs of the primary's data centre die, replicas stay in contact with the primary but nobody can reach it. VMs without seeds learnt other cells only from the platform's list, so reports reached them late after a start.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/DefaultSuspicionPolicy.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/DefaultSuspicionPolicy.java
@@ -14,11 +14,13 @@
  * replication alone may be disturbed. A primary that is silent itself counts as one of the majority when at least one
  * replica has lost contact.
  *
- * <p>A promotion is due as well when a fence was left behind without a promotion, and when the primary is declared as
+ * <p>A promotion is due as well when no VM has reported a primary for long, when a fence was left behind without a promotion, and when the primary is declared as
  * leaving while the rest of the group is healthy.
  */
 public final class DefaultSuspicionPolicy implements SuspicionPolicy {
 
+    private static final int UNKNOWN_PRIMARY_FACTOR = 3;
+
     private final FailoverSettings settings;
 
     /**
@@ -36,7 +38,10 @@
                 .filter(r -> r.isFresh(nowMillis, settings.reportAgeMillis()))
                 .toList();
         Optional<GroupRow> primary = table.primary(database);
-        if (hasLostContact(database, fresh, primary, nowMillis) || isLeaving(database, fresh, primary)) {
+        boolean replace = hasLostContact(database, fresh, primary, nowMillis)
+                || hasNoHome(database, fresh, primary, nowMillis)
+                || isLeaving(database, fresh, primary);
+        if (replace) {
             return PromotionNeed.REPLACE;
         }
         return hasStuckFence(fresh, primary, nowMillis) ? PromotionNeed.REPAIR : PromotionNeed.NONE;
@@ -59,6 +64,22 @@
         return lost >= database.majority() || (silent && lost >= 1 && lost + 1 >= database.majority());
     }
 
+    /**
+     * Whether no VM has reported a primary for long, so that nobody could reach it although its replicas do. A primary
+     * that this VM never heard of is given more time, since reports may only begin to arrive after a start.
+     */
+    private boolean hasNoHome(
+            DatabaseDeclaration database, List<GroupRow> fresh, Optional<GroupRow> primary, long nowMillis) {
+        long patience =
+                primary.isPresent() ? settings.homelessMillis() : settings.homelessMillis() * UNKNOWN_PRIMARY_FACTOR;
+        long others = fresh.stream()
+                .filter(r -> !r.isPrimary() && nowMillis - r.roleSinceMillis() >= patience)
+                .count();
+        boolean reported =
+                primary.filter(p -> nowMillis - p.receivedMillis() < patience).isPresent();
+        return !reported && others >= database.majority();
+    }
+
     private boolean hasStuckFence(List<GroupRow> fresh, Optional<GroupRow> primary, long nowMillis) {
         long term = primary.map(p -> p.status().acceptedTerm()).orElse(0L);
         return fresh.stream()
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FailoverSettings.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/FailoverSettings.java
@@ -11,9 +11,10 @@
  *     or reports the primary as silent
  * @param answeringContactMillis age of the replication contact that counts as lost while the primary answers its home
  * @param reportAgeMillis age up to which a report of an endpoint in doubt counts
+ * @param homelessMillis time without any report of a primary after which it is replaced although its replicas are in
+ *     contact with it
  * @param stuckFenceMillis time after which a fence without a promotion is taken as abandoned
  * @param rankDelayMillis delay of each further orderer
- * @param attemptMillis time after which a promotion attempt is given up
  */
 public record FailoverSettings(
         long activePollMillis,
@@ -22,13 +23,13 @@
         long silentContactMillis,
         long answeringContactMillis,
         long reportAgeMillis,
+        long homelessMillis,
         long stuckFenceMillis,
-        long rankDelayMillis,
-        long attemptMillis) {
+        long rankDelayMillis) {
 
     /** Promotes about a second after the primary was cut off. */
     public static final FailoverSettings DEFAULT =
-            new FailoverSettings(200, 1_000, 300, 800, 1_500, 2_500, 1_500, 300, 3_000);
+            new FailoverSettings(200, 1_000, 300, 800, 1_500, 2_500, 4_000, 1_500, 300);
 
     /** Checks the ranges. */
     public FailoverSettings {
@@ -40,9 +41,13 @@
             throw new IllegalArgumentException("contact ages must satisfy doubt <= silent <= answering, but are "
                     + doubtMillis + ", " + silentContactMillis + " and " + answeringContactMillis);
         }
-        if (reportAgeMillis < idlePollMillis || stuckFenceMillis < 1 || rankDelayMillis < 1 || attemptMillis < 1) {
-            throw new IllegalArgumentException("report age must reach the idle poll and times be positive, but are "
-                    + reportAgeMillis + ", " + stuckFenceMillis + ", " + rankDelayMillis + " and " + attemptMillis);
+        if (reportAgeMillis < idlePollMillis || homelessMillis < reportAgeMillis) {
+            throw new IllegalArgumentException("ages must satisfy idle poll <= report <= without a home, but are "
+                    + idlePollMillis + ", " + reportAgeMillis + " and " + homelessMillis);
+        }
+        if (stuckFenceMillis < 1 || rankDelayMillis < 1) {
+            throw new IllegalArgumentException("the time of a stuck fence and the rank delay must be positive, but are "
+                    + stuckFenceMillis + " and " + rankDelayMillis);
         }
     }
 }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/PromotionSystem.java
@@ -29,6 +29,7 @@
  */
 public final class PromotionSystem implements DecisionSystem {
 
+    private static final long ATTEMPT_MILLIS = 3_000;
     private static final long LEASE_TIMEOUT_MILLIS = 300;
     private static final long LEASE_RESPECT_MILLIS = 1_500;
     private static final long BACKOFF_MILLIS = 300;
@@ -207,7 +208,7 @@
             } else if (claim.state() != LeaseClaim.State.PENDING) {
                 long term = Math.max(claim.knownTerm(), groups.highestTerm(database)) + 1;
                 usedTerms.put(database.id(), term);
-                long deadline = nowMillis + settings.attemptMillis();
+                long deadline = nowMillis + ATTEMPT_MILLIS;
                 attempt = new PromotionAttempt(database, term, orderer, avoided(database, nowMillis), deadline, router);
                 claim = null;
                 stepAttempt(database, nowMillis, out);
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MembershipSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/membership/MembershipSystem.java
@@ -146,6 +146,8 @@
         if (from.cell().equals(self.cell())) {
             table.seen(from, nowMillis);
             detector.onSeen(from);
+        } else {
+            directory.addContact(from);
         }
         if (message instanceof MembershipPing ping) {
             ping.updates().forEach(u -> table.merge(u, nowMillis));
