--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/SessionTransaction.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/SessionTransaction.java
@@ -44,8 +44,13 @@
                 : Optional.empty();
     }
 
-    void setReadOnly(boolean readOnly) {
-        readOnlyDefault = readOnly;
+    /** Sets the access mode of the next transactions, or of the current one. */
+    void setReadOnly(boolean readOnly, boolean session) {
+        if (session) {
+            readOnlyDefault = readOnly;
+        } else {
+            current().setReadOnly(readOnly || reader);
+        }
     }
 
     void begin(boolean readOnly) {
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/StatementRunner.java
@@ -100,14 +100,14 @@
             return QueryResult.tag("SET");
         }
         if (statement instanceof Statement.SetReadOnly set) {
-            transaction.setReadOnly(set.readOnly());
+            transaction.setReadOnly(set.readOnly(), set.session());
             return QueryResult.tag("SET");
         }
         if (statement instanceof Statement.Show show) {
             return new QueryResult(show.columns(), List.of(List.of(shown(show.name()))), "SHOW");
         }
         if (statement instanceof Statement.Discard discard) {
-            transaction.setReadOnly(false);
+            transaction.setReadOnly(false, true);
             parameters.clear();
             parameters.putAll(startupParameters);
             return QueryResult.tag(discard.tag());
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/Transaction.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/Transaction.java
@@ -13,10 +13,10 @@
 final class Transaction {
 
     private final long term;
-    private final boolean readOnly;
     private final List<Mutation> mutations = new ArrayList<>();
     private final DataStore overlay = new DataStore();
     private final Map<String, Long> expectedVersions = new HashMap<>();
+    private boolean readOnly;
 
     Transaction(long term, boolean readOnly) {
         this.term = term;
@@ -32,6 +32,10 @@
         return readOnly;
     }
 
+    void setReadOnly(boolean value) {
+        readOnly = value;
+    }
+
     List<Mutation> mutations() {
         return mutations;
     }
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/sql/SqlParser.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/sql/SqlParser.java
@@ -71,8 +71,11 @@
     }
 
     private Statement set() {
-        if (cursor.accept("session", "characteristics", "as", "transaction") || cursor.accept("transaction")) {
-            return new Statement.SetReadOnly(readOnly(cursor.rest()));
+        if (cursor.accept("session", "characteristics", "as", "transaction")) {
+            return new Statement.SetReadOnly(readOnly(cursor.rest()), true);
+        }
+        if (cursor.accept("transaction")) {
+            return new Statement.SetReadOnly(readOnly(cursor.rest()), false);
         }
         if (!cursor.accept("session")) {
             cursor.accept("local");
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/sql/Statement.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/sql/Statement.java
@@ -36,11 +36,12 @@
     record SetParameter(String name, String value) implements Statement {}
 
     /**
-     * Sets whether the next transactions of the session only read.
+     * Sets whether transactions only read.
      *
      * @param readOnly whether they do
+     * @param session whether this holds for the next transactions of the session, or for the current one only
      */
-    record SetReadOnly(boolean readOnly) implements Statement {}
+    record SetReadOnly(boolean readOnly, boolean session) implements Statement {}
 
     /**
      * Shows a session parameter.
