Let the entry use the key checks of the core

The checks of keys stood twice, in the core and in the entry. KeyCheckUtils of the core finds the keys that a caller may mean, matches a key in the clear and checks on every request that the session's key is in force; the entry calls it.

The key tests and the tests of the whole path with the driver pass.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerLogin.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerLogin.java
@@ -6,12 +6,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.hyssopswitch.core.configuration.AccountDeclaration;
 import org.hyssopswitch.core.configuration.KeyVerifier;
-import org.hyssopswitch.core.identity.ClientAccountId;
 import org.hyssopswitch.core.identity.KeyId;
-import org.hyssopswitch.core.key.CallerName;
-import org.hyssopswitch.core.key.ScramUtils;
+import org.hyssopswitch.core.key.KeyCheckUtils;
+import org.hyssopswitch.core.key.SessionKey;
 import org.hyssopswitch.proxy.net.FrameChannel;
 import org.hyssopswitch.wire.BackendFrames;
 import org.hyssopswitch.wire.BodyReader;
@@ -32,8 +30,7 @@
 
     private final EntryContext context;
     private final FrameChannel channel;
-    private final Option<ClientAccountId> account;
-    private final List<KeyVerifier> keys;
+    private final List<SessionKey> keys;
     private final Consumer<Option<SessionIdentity>> done;
     private final boolean cleartext;
     private Option<ScramExchange> exchange = Option.none();
@@ -51,15 +48,7 @@
         this.context = context;
         this.channel = channel;
         this.done = done;
-        Option<CallerName> name = CallerName.parse(user);
-        this.account = name.map(CallerName::account);
-        List<KeyVerifier> all = account.flatMap(
-                        a -> Option.ofOptional(context.configuration().account(a)))
-                .map(AccountDeclaration::keys)
-                .getOrElse(List.of());
-        this.keys = all.stream()
-                .filter(k -> name.get().key().map(k.id()::equals).orElse(true))
-                .toList();
+        this.keys = KeyCheckUtils.candidates(user, context.configuration());
         // SCRAM must name one key before it learns which one the caller has.
         this.cleartext = keys.size() > 1 && channel.confidential();
     }
@@ -89,7 +78,7 @@
         firstTaken = true;
         String mechanism = body.readString();
         String message = new String(body.readBytes(body.readInt()), StandardCharsets.UTF_8);
-        KeyVerifier verifier = keys.isEmpty() ? unknown() : keys.get(0);
+        KeyVerifier verifier = keys.isEmpty() ? unknown() : keys.get(0).verifier();
         ScramExchange scram = new ScramExchange(verifier, random(NONCE_BYTES));
         exchange = Option.some(scram);
         Option<String> answer = mechanism.equals(MECHANISM) ? scram.first(message) : Option.none();
@@ -109,18 +98,17 @@
         }
         channel.send(BackendFrames.authenticationSaslFinal(answer.get().getBytes(StandardCharsets.UTF_8))
                 .encode());
-        done.accept(Option.some(new SessionIdentity(account.get(), Option.some(keys.get(0)))));
+        done.accept(Option.some(SessionIdentity.of(keys.get(0))));
     }
 
     private void password(String key) {
         channel.pause();
-        CompletableFuture<Void> unused = CompletableFuture.supplyAsync(() -> Option.ofOptional(
-                        keys.stream().filter(k -> ScramUtils.verify(key, k)).findFirst()))
+        CompletableFuture<Void> unused = CompletableFuture.supplyAsync(() -> KeyCheckUtils.match(key, keys))
                 .exceptionally(e -> Option.none())
                 .thenAcceptAsync(
                         found -> {
                             channel.resume();
-                            done.accept(found.map(k -> new SessionIdentity(account.get(), Option.some(k))));
+                            done.accept(found.map(SessionIdentity::of));
                         },
                         context.loop());
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/SessionIdentity.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/SessionIdentity.java
@@ -2,12 +2,13 @@
 
 import io.vavr.control.Option;
 import io.vavr.control.Try;
-import org.hyssopswitch.core.configuration.AccountDeclaration;
 import org.hyssopswitch.core.configuration.Configuration;
 import org.hyssopswitch.core.configuration.KeyVerifier;
 import org.hyssopswitch.core.failure.Refusal;
 import org.hyssopswitch.core.identity.ClientAccountId;
 import org.hyssopswitch.core.identity.DatabaseId;
+import org.hyssopswitch.core.key.KeyCheckUtils;
+import org.hyssopswitch.core.key.SessionKey;
 
 /**
  * Who a session belongs to.
@@ -40,6 +41,10 @@
         return new SessionIdentity(account.getOrElse(OPEN), Option.none());
     }
 
+    static SessionIdentity of(SessionKey key) {
+        return new SessionIdentity(key.account(), Option.some(key.verifier()));
+    }
+
     boolean keyed() {
         return key.isDefined();
     }
@@ -58,12 +63,14 @@
         if (!keyed()) {
             return Option.none();
         }
-        Option<AccountDeclaration> declared = Option.ofOptional(configuration.account(account));
-        if (!declared.exists(a -> a.keys().contains(key.get()))) {
-            return Option.some(new Refusal.KeyWithdrawn(account));
+        Option<Refusal> withdrawn = KeyCheckUtils.check(new SessionKey(account, key.get()), configuration);
+        if (withdrawn.isDefined()) {
+            return withdrawn;
         }
-        return declared.get().databases().contains(database)
-                ? Option.none()
-                : Option.some(new Refusal.DatabaseUnknown(database.value()));
+        boolean permitted = configuration
+                .account(account)
+                .map(a -> a.databases().contains(database))
+                .orElse(false);
+        return permitted ? Option.none() : Option.some(new Refusal.DatabaseUnknown(database.value()));
     }
 }
