--- a/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/group/GroupDriverTests.java
+++ b/hyssopswitch-standin/src/test/java/org/hyssopswitch/standin/group/GroupDriverTests.java
@@ -10,6 +10,7 @@
 import java.sql.Statement;
 import java.util.ArrayList;
 import java.util.List;
+import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.position.LogPosition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -209,6 +210,38 @@
         }
     }
 
+    @Test
+    void takesEffectBeforeASlowAnswer() throws Exception {
+        EndpointId first = group.endpoints().get(0);
+        try (Connection connection = GroupConnections.writer(group, 0)) {
+            LogPosition before = group.status(first).applied();
+            group.faults().setSlowMillis(first, 15_000);
+            Thread caller = new Thread(() -> state(connection, "INSERT INTO kv (key, value) VALUES ('a', 'b')"));
+            caller.setDaemon(true);
+            caller.start();
+            while (group.status(first).applied().equals(before)) {
+                Thread.onSpinWait();
+            }
+            assertEquals(true, caller.isAlive());
+            group.faults().crash(first);
+            caller.join();
+        }
+    }
+
+    @Test
+    void limitsSetTransactionToTheCurrentOne() throws SQLException {
+        try (Connection connection = GroupConnections.writer(group, 0)) {
+            String insert = "INSERT INTO kv (key, value) VALUES ('a', 'b') ON CONFLICT (key) DO NOTHING";
+            GroupConnections.execute(connection, "BEGIN");
+            GroupConnections.execute(connection, "SET TRANSACTION READ ONLY");
+            assertEquals("25006", state(connection, insert));
+            GroupConnections.execute(connection, "ROLLBACK");
+            GroupConnections.execute(connection, insert);
+            GroupConnections.execute(connection, "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY");
+            assertEquals("25006", state(connection, insert));
+        }
+    }
+
     private void cancelWhenRunning(Statement statement) {
         try {
             while (group.statistics(group.endpoints().get(0)).statements() == 0) {
