Bound callers, statements and idle transactions in time and number

A statement whose home or endpoint falls silent now ends with 08007 after the statement timeout instead of waiting for ever, and a home rolls back transactions that stay idle for a minute.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failure/Refusal.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failure/Refusal.java
@@ -367,4 +367,26 @@
             return "the statement was cancelled before it ran";
         }
     }
+
+    /**
+     * The VM has as many callers as it may.
+     *
+     * @param maxConnections connections of callers at once
+     */
+    record TooManyConnections(long maxConnections) implements Refusal {
+        @Override
+        public String sqlState() {
+            return "53300";
+        }
+
+        @Override
+        public Execution execution() {
+            return Execution.NOT_RUN;
+        }
+
+        @Override
+        public String describe() {
+            return "the VM already has " + maxConnections + " connections";
+        }
+    }
 }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerConnection.java
@@ -23,7 +23,6 @@
 /** A caller's connection: startup, login, then its session. */
 final class CallerConnection implements FrameListener {
 
-    private static final long LOGIN_MILLIS = 10_000;
     private static final byte[] NO_ENCRYPTION = {'N'};
 
     private final EntryContext context;
@@ -39,7 +38,7 @@
         this.context = context;
         this.sessions = sessions;
         this.channel = channel;
-        this.loginTimer = context.loop().schedule(LOGIN_MILLIS, this::loginExpired);
+        this.loginTimer = context.loop().schedule(context.options().loginMillis(), this::loginExpired);
     }
 
     Option<CallerSession> session() {
@@ -55,6 +54,17 @@
         }
     }
 
+    /** Reports a failure that ends the connection before its session. */
+    void refuse(Refusal refusal) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        loginTimer.cancel();
+        context.metrics().refused(SessionIdentity.NOBODY, refusal);
+        channel.sendAndClose(ErrorFrames.fatal(refusal));
+    }
+
     @Override
     public void framesReceived(List<Frame> frames) {
         if (session.isDefined()) {
@@ -186,16 +196,6 @@
         return parameters;
     }
 
-    private void refuse(Refusal refusal) {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        loginTimer.cancel();
-        context.metrics().refused(SessionIdentity.NOBODY, refusal);
-        channel.sendAndClose(ErrorFrames.fatal(refusal));
-    }
-
     private void loginExpired() {
         if (session.isEmpty()) {
             channel.close();
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -20,12 +20,12 @@
 import org.hyssopswitch.core.session.SelectionRequest;
 import org.hyssopswitch.proxy.forward.AnswerEnd;
 import org.hyssopswitch.proxy.forward.CycleFacts;
+import org.hyssopswitch.proxy.net.DecisionLoop.Timer;
 import org.hyssopswitch.wire.Frame;
 
 /** Takes one cycle of a session to an endpoint and its answer back. */
 final class CycleDriver implements StreamListener {
 
-    private static final long DEADLINE_MILLIS = 30_000;
     private static final long FORGIVE_MILLIS = 250;
 
     private final EntryContext context;
@@ -33,6 +33,7 @@
     private final List<Frame> frames;
     private final long arrivedMillis;
     private final Deadline deadline;
+    private final Timer timer;
     private final Set<EndpointId> tried = new HashSet<>();
     private final Set<VmAddress> failedHomes = new HashSet<>();
     private Option<EntryStream> stream = Option.none();
@@ -56,7 +57,8 @@
         this.frames = new ArrayList<>(part.frames());
         this.open = part.open();
         this.arrivedMillis = context.nowMillis();
-        this.deadline = Deadline.after(arrivedMillis, DEADLINE_MILLIS);
+        this.deadline = Deadline.after(arrivedMillis, context.options().statementMillis());
+        this.timer = context.loop().schedule(context.options().statementMillis(), this::timedOut);
         this.route = RouteDeclaration.undeclared(session.database());
     }
 
@@ -109,6 +111,7 @@
     /** Gives the cycle up because the caller is gone. */
     void abort() {
         ended = true;
+        timer.cancel();
         stream.forEach(EntryStream::close);
     }
 
@@ -350,9 +353,23 @@
         end(() -> session.refuse(refusal, open, inTransaction));
     }
 
+    /** A home that is cut off without a word gives no answer; whatever it runs is rolled back when it can be told. */
+    private void timedOut() {
+        if (ended) {
+            return;
+        }
+        if (stream.isEmpty() && !pinned) {
+            refuse(new Refusal.EndpointUnavailable(session.database(), 1_000));
+            return;
+        }
+        stream.forEach(EntryStream::close);
+        failWith(new Refusal.OutcomeUnknown(session.database(), "no answer came in time"));
+    }
+
     private void end(Runnable last) {
         if (!ended) {
             ended = true;
+            timer.cancel();
             last.run();
         }
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryContext.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryContext.java
@@ -8,6 +8,7 @@
  * What all sessions of an entry share.
  *
  * @param loop the decision thread
+ * @param options bounds for callers
  * @param collaborators what the entry needs of the rest of its VM
  * @param forwarder streams to homes
  * @param metrics counters
@@ -17,6 +18,7 @@
  */
 record EntryContext(
         DecisionLoop loop,
+        EntryOptions options,
         EntryCollaborators collaborators,
         Forwarder forwarder,
         EntryMetrics metrics,
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.security.SecureRandom;
+import org.hyssopswitch.core.failure.Refusal;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.position.LogPosition;
@@ -21,11 +22,13 @@
      *
      * @param loop the decision thread
      * @param self this VM
+     * @param options bounds for callers
      * @param collaborators what the entry needs of the rest of its VM
      */
-    public EntryService(DecisionLoop loop, VmAddress self, EntryCollaborators collaborators) {
+    public EntryService(DecisionLoop loop, VmAddress self, EntryOptions options, EntryCollaborators collaborators) {
         this.context = new EntryContext(
                 loop,
+                options,
                 collaborators,
                 new Forwarder(self, collaborators.sender()),
                 new EntryMetrics(collaborators.metrics()),
@@ -43,8 +46,11 @@
     public FrameListener accept(FrameChannel channel) {
         CallerConnection connection = new CallerConnection(context, sessions, channel);
         sessions.accepted(connection);
+        int most = context.options().maxConnections();
         if (draining) {
             connection.drain();
+        } else if (sessions.size() > most) {
+            connection.refuse(new Refusal.TooManyConnections(most));
         }
         return connection;
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
@@ -28,6 +28,7 @@
 
     private static final long CONFIRM_MILLIS = 5_000;
     private static final int MAX_PARKED = 4;
+    private static final long IDLE_TRANSACTION_MILLIS = 60_000;
 
     private final HomeContext context;
     private final DatabaseId database;
@@ -162,6 +163,7 @@
     void tick() {
         queue.expire(context.loop().nowMillis())
                 .forEach(s -> refuse(s, AnswerState.OVERLOADED, 1_000, "queue deadline"));
+        closeIdleTransactions();
         pool.tick();
         pump();
     }
@@ -220,6 +222,16 @@
         pump();
     }
 
+    /** An entry VM that was cut off cannot say that its caller is gone. */
+    private void closeIdleTransactions() {
+        long before = context.loop().nowMillis() - IDLE_TRANSACTION_MILLIS;
+        List<StreamKey> abandoned = streams.values().stream()
+                .filter(s -> s.idleBefore(before))
+                .map(HomeStream::key)
+                .toList();
+        abandoned.forEach(this::close);
+    }
+
     private EndpointConnection connection(EndpointUser user, EndpointConnection.Owner owner) {
         ConnectionSpec spec = new ConnectionSpec(database, endpoint, user, context.application());
         return new EndpointConnection(context.network(), spec, owner);
@@ -405,6 +417,7 @@
             streams.remove(stream.key());
         } else {
             stream.enter(Phase.IDLE);
+            stream.idleSince(context.loop().nowMillis());
         }
     }
 
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeStream.java
@@ -25,6 +25,7 @@
     private Phase phase = Phase.QUEUED;
     private Option<EndpointConnection> connection = Option.none();
     private long outstandingBytes;
+    private long idleMillis;
 
     HomeStream(StreamKey key, Replies replies, ExecuteCycle first, long deadlineMillis) {
         this.key = key;
@@ -57,6 +58,15 @@
         phase = next;
     }
 
+    /** Notes when the transaction became idle. */
+    void idleSince(long nowMillis) {
+        idleMillis = nowMillis;
+    }
+
+    boolean idleBefore(long millis) {
+        return phase == Phase.IDLE && idleMillis < millis;
+    }
+
     Option<EndpointConnection> connection() {
         return connection;
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmLauncher.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmLauncher.java
@@ -7,6 +7,7 @@
 import org.hyssopswitch.platform.HttpPlatformClient;
 import org.hyssopswitch.platform.PlatformClient;
 import org.hyssopswitch.platform.PlatformOptions;
+import org.hyssopswitch.proxy.entry.EntryOptions;
 import org.hyssopswitch.proxy.home.EndpointUser;
 import org.hyssopswitch.proxy.home.EndpointUsers;
 import org.hyssopswitch.proxy.net.PemIdentity;
@@ -71,6 +72,10 @@
                         user(settings.endpointUsers().writer()),
                         user(settings.endpointUsers().reader())),
                 Option.ofOptional(settings.tls()).map(t -> PemIdentity.read(t.certificateFile(), t.keyFile())),
+                new EntryOptions(
+                        tuning.callers().maxConnections(),
+                        tuning.callers().startupTimeoutMillis(),
+                        tuning.callers().statementTimeoutMillis()),
                 tuning.engine().tickMillis(),
                 tuning.shutdown().drainMillis());
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmOptions.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmOptions.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import javax.net.ssl.SSLContext;
 import org.hyssopswitch.peer.PeerOptions;
+import org.hyssopswitch.proxy.entry.EntryOptions;
 import org.hyssopswitch.proxy.home.EndpointUsers;
 
 /**
@@ -13,6 +14,7 @@
  * @param operations address of the listener for health, status and metrics
  * @param users the VM's users at endpoints
  * @param tls identity towards callers; nothing when TLS is not offered
+ * @param callers bounds for callers
  * @param tickMillis milliseconds between ticks of the decision engine
  * @param drainMillis milliseconds that running transactions get to end at a shutdown
  */
@@ -22,6 +24,7 @@
         Listener operations,
         EndpointUsers users,
         Option<SSLContext> tls,
+        EntryOptions callers,
         long tickMillis,
         long drainMillis) {
 
@@ -33,6 +36,28 @@
         }
     }
 
+    /**
+     * Options with the default bounds for callers.
+     *
+     * @param peer who the VM is towards its peers
+     * @param caller address of the listener for callers
+     * @param operations address of the listener for health, status and metrics
+     * @param users the VM's users at endpoints
+     * @param tls identity towards callers
+     * @param tickMillis milliseconds between ticks
+     * @param drainMillis milliseconds that running transactions get to end
+     */
+    public VmOptions(
+            PeerOptions peer,
+            Listener caller,
+            Listener operations,
+            EndpointUsers users,
+            Option<SSLContext> tls,
+            long tickMillis,
+            long drainMillis) {
+        this(peer, caller, operations, users, tls, EntryOptions.DEFAULT, tickMillis, drainMillis);
+    }
+
     /**
      * An address to listen on.
      *
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
@@ -202,6 +202,7 @@
         return new EntryService(
                 loop,
                 transport.self(),
+                options.callers(),
                 new EntryCollaborators(
                         core.engine()::configuration,
                         core.freshness(),
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/TestFleet.java
@@ -52,6 +52,7 @@
 import org.hyssopswitch.core.session.EndpointTable;
 import org.hyssopswitch.core.session.SelectionWaits;
 import org.hyssopswitch.peer.PeerOptions;
+import org.hyssopswitch.proxy.entry.EntryOptions;
 import org.hyssopswitch.proxy.home.EndpointUser;
 import org.hyssopswitch.proxy.home.EndpointUsers;
 import org.hyssopswitch.proxy.home.QueueFactory;
@@ -74,9 +75,15 @@
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.EMPTY);
     private final List<VmRuntime> vms = new ArrayList<>();
     private final int parts;
+    private final EntryOptions callers;
     private long incarnation;
 
     TestFleet(int vms) {
+        this(vms, EntryOptions.DEFAULT);
+    }
+
+    TestFleet(int vms, EntryOptions callers) {
+        this.callers = callers;
         group = new DatabaseGroupServer(GroupSettings.of(DATABASE, 3).withCapacity(3, 34, 1));
         group.start();
         parts = vms;
@@ -188,7 +195,7 @@
         EndpointUsers users = new EndpointUsers(
                 new EndpointUser("hyssop_writer", "writer-password"),
                 new EndpointUser("hyssop_reader", "reader-password"));
-        VmOptions options = new VmOptions(peer, any, any, users, Option.none(), 10, 10_000);
+        VmOptions options = new VmOptions(peer, any, any, users, Option.none(), callers, 10, 10_000);
         VmRuntime vm =
                 new VmRuntime(options, VmMessages.registry(), new NoPlatform(), this::core, new MetricRegistry());
         membership.join(vm.self());
