Keep the ranking of relays until the view changes

Every tick ranked the 48 members of a cell several times by rendezvous scores. The ranking is now kept until the membership view changes.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/RelayRanking.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/configuration/RelayRanking.java
@@ -7,7 +7,10 @@
 import org.hyssopswitch.core.membership.MembershipView;
 import org.hyssopswitch.core.placement.RendezvousUtils;
 
-/** Ranks the VMs of a cell as relays by rendezvous hashing, so that the next one takes over from a dead one. */
+/**
+ * Ranks the VMs of a cell as relays by rendezvous hashing, so that the next one takes over from a dead one. The ranking is
+ * kept until the view changes.
+ */
 final class RelayRanking {
 
     private static final String KEY = "relay";
@@ -15,6 +18,10 @@
 
     private final MembershipView view;
     private final RandomGenerator random;
+    private List<VmAddress> ranked = List.of();
+    private List<VmAddress> others = List.of();
+    private long rankedVersion;
+    private boolean isRanked;
 
     RelayRanking(MembershipView view, RandomGenerator random) {
         this.view = view;
@@ -27,7 +34,8 @@
 
     /** The other live members of the own cell. */
     List<VmAddress> others() {
-        return view.live(self().cell()).stream().filter(a -> !a.equals(self())).toList();
+        refresh();
+        return others;
     }
 
     /** Whether this VM is among the first live members. */
@@ -35,13 +43,10 @@
         return first(relays).contains(self());
     }
 
-    /** The first live members. */
+    /** The first live members that are not suspected. */
     List<VmAddress> first(int count) {
-        return view.live(self().cell()).stream()
-                .filter(a -> a.equals(self()) || !view.isSuspected(a))
-                .sorted(RendezvousUtils.byScore(KEY, a -> a.vm().value()))
-                .limit(count)
-                .toList();
+        refresh();
+        return ranked.subList(0, Math.min(count, ranked.size()));
     }
 
     /** A random live member of one of the few other cells that this VM asks. */
@@ -55,4 +60,18 @@
                 .toList();
         return members.isEmpty() ? members : List.of(members.get(random.nextInt(members.size())));
     }
+
+    private void refresh() {
+        if (isRanked && rankedVersion == view.version()) {
+            return;
+        }
+        List<VmAddress> live = view.live(self().cell());
+        others = live.stream().filter(a -> !a.equals(self())).toList();
+        ranked = live.stream()
+                .filter(a -> a.equals(self()) || !view.isSuspected(a))
+                .sorted(RendezvousUtils.byScore(KEY, a -> a.vm().value()))
+                .toList();
+        rankedVersion = view.version();
+        isRanked = true;
+    }
 }
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/FakeView.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/FakeView.java
@@ -13,12 +13,14 @@
 
     private final VmAddress self;
     private final Set<VmAddress> live = new HashSet<>();
+    private long version;
 
     FakeView(VmAddress self) {
         this.self = self;
     }
 
     void show(List<VmAddress> members) {
+        version++;
         live.clear();
         live.addAll(members);
     }
@@ -30,7 +32,7 @@
 
     @Override
     public long version() {
-        return 0;
+        return version;
     }
 
     @Override
