--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/LimitSystem.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/LimitSystem.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.core.limit;
 
 import io.vavr.control.Option;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -29,7 +30,7 @@
     private final SlotOwnership ownership;
     private final ShareLender lender;
     private final ShareHolder holder;
-    private SplitTable splits = SplitTable.EMPTY;
+    private final SplitTable splits;
 
     /**
      * Creates a system that admits nothing until it is configured and has been lent shares.
@@ -42,10 +43,11 @@
     public LimitSystem(MembershipView view, LimitSettings settings, LongSupplier callNumbers, RandomGenerator random) {
         this.view = view;
         this.settings = settings;
-        this.locator = new SlotLocator(view);
-        this.ownership = new SlotOwnership(view, settings, locator, callNumbers, random);
-        this.lender = new ShareLender(view, settings, ownership, locator);
-        this.holder = new ShareHolder(view, settings, locator);
+        this.splits = new SplitTable(settings.slots());
+        this.locator = new SlotLocator(view, splits);
+        this.ownership = new SlotOwnership(view, settings, splits, locator, callNumbers, random);
+        this.lender = new ShareLender(view, settings, splits, ownership, locator);
+        this.holder = new ShareHolder(view, settings, splits, locator);
     }
 
     @Override
@@ -77,13 +79,13 @@
 
     @Override
     public void configure(Configuration configuration, long nowMillis, Outbox out) {
-        SplitTable next = new SplitTable(configuration);
-        Set<Integer> moved = next.movedSlots(splits, settings.slots());
-        splits = next;
-        locator.configure(next);
-        ownership.configure(next, moved);
-        lender.configure(next, nowMillis);
-        holder.configure(next);
+        long former = splits.version();
+        Set<ClientAccountId> moved = splits.apply(configuration);
+        Set<Integer> movedSlots = new HashSet<>();
+        moved.forEach(a -> movedSlots.add(SlotUtils.slotOf(a, settings.slots())));
+        locator.clear();
+        ownership.configure(former, movedSlots);
+        lender.configure(moved, nowMillis);
     }
 
     /**
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareHolder.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareHolder.java
@@ -34,15 +34,16 @@
 
     private final MembershipView view;
     private final LimitSettings settings;
+    private final SplitTable splits;
     private final SlotLocator locator;
     private final Map<ClientAccountId, Consumer> consumers = new HashMap<>();
     private final Set<Consumer> pressed = new LinkedHashSet<>();
     private final Map<Long, Sent> sent = new LinkedHashMap<>();
-    private SplitTable splits = SplitTable.EMPTY;
     private long sequence;
     private long nextScanMillis;
 
-    ShareHolder(MembershipView view, LimitSettings settings, SlotLocator locator) {
+    ShareHolder(MembershipView view, LimitSettings settings, SplitTable splits, SlotLocator locator) {
+        this.splits = splits;
         this.view = view;
         this.settings = settings;
         this.locator = locator;
@@ -89,10 +90,6 @@
         return consumer.shares().values().stream().map(s -> s.amount(nowMillis)).reduce(Amount.NONE, Amount::plus);
     }
 
-    void configure(SplitTable next) {
-        splits = next;
-    }
-
     void tick(long nowMillis, Outbox out) {
         Batches batches = new Batches();
         if (nowMillis >= nextScanMillis) {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareLender.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/ShareLender.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopswitch.core.engine.Action;
 import org.hyssopswitch.core.engine.Outbox;
 import org.hyssopswitch.core.identity.ClientAccountId;
@@ -21,16 +22,22 @@
 
     private final MembershipView view;
     private final LimitSettings settings;
+    private final SplitTable splits;
     private final SlotOwnership ownership;
     private final SlotLocator locator;
     private final Map<ClientAccountId, LenderAccount> accounts = new HashMap<>();
     private final Map<VmId, Sender> senders = new HashMap<>();
-    private SplitTable splits = SplitTable.EMPTY;
     private long configuredMillis;
     private long grants;
     private long nextSweepMillis;
 
-    ShareLender(MembershipView view, LimitSettings settings, SlotOwnership ownership, SlotLocator locator) {
+    ShareLender(
+            MembershipView view,
+            LimitSettings settings,
+            SplitTable splits,
+            SlotOwnership ownership,
+            SlotLocator locator) {
+        this.splits = splits;
         this.view = view;
         this.settings = settings;
         this.ownership = ownership;
@@ -42,15 +49,11 @@
         return accounts.size();
     }
 
-    void configure(SplitTable next, long nowMillis) {
-        SplitTable former = splits;
-        splits = next;
+    void configure(Set<ClientAccountId> moved, long nowMillis) {
         configuredMillis = nowMillis;
         for (LenderAccount account : accounts.values()) {
-            Optional<AccountSplit> split = next.find(account.account());
-            boolean moved = !split.map(AccountSplit::dataCentres)
-                    .equals(former.find(account.account()).map(AccountSplit::dataCentres));
-            account.split(part(split), account.grown() && !moved, nowMillis);
+            Optional<AccountSplit> split = splits.find(account.account());
+            account.split(part(split), account.grown() && !moved.contains(account.account()), nowMillis);
         }
     }
 
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotLocator.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotLocator.java
@@ -19,14 +19,35 @@
 
     private final MembershipView view;
     private final Map<String, VmAddress> owners = new HashMap<>();
-    private SplitTable splits = SplitTable.EMPTY;
+    private final SplitTable splits;
+    private final Map<Integer, Boolean> ownCandidates = new HashMap<>();
+    private long candidatesVersion = -1;
 
-    SlotLocator(MembershipView view) {
+    SlotLocator(MembershipView view, SplitTable splits) {
         this.view = view;
+        this.splits = splits;
     }
 
-    void configure(SplitTable next) {
-        splits = next;
+    /** Forgets what was derived from an earlier configuration. */
+    void clear() {
+        ownCandidates.clear();
+    }
+
+    /** Whether this VM should own a slot of its data centre when nobody does. */
+    boolean isOwnCandidate(int slot) {
+        if (candidatesVersion != view.version()) {
+            candidatesVersion = view.version();
+            ownCandidates.clear();
+        }
+        return ownCandidates.computeIfAbsent(slot, s -> {
+            VmAddress self = view.self();
+            List<CellId> cells = splits.cells(self.dataCentre());
+            boolean ownCell = cells.isEmpty() || cells.get(s % cells.size()).equals(self.cell());
+            return ownCell
+                    && candidate(self.dataCentre(), s)
+                            .filter(c -> c.vm().equals(self.vm()))
+                            .isPresent();
+        });
     }
 
     /** The VM that should own a slot when nobody does. */
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
@@ -35,12 +35,12 @@
 
     private final MembershipView view;
     private final LimitSettings settings;
+    private final SplitTable splits;
     private final SlotLocator locator;
     private final LongSupplier callNumbers;
     private final Backoff backoff;
     private final List<SlotState> slots = new ArrayList<>();
     private final Map<Long, Call> calls = new HashMap<>();
-    private SplitTable splits = SplitTable.EMPTY;
     private long nextScanMillis;
     private long viewVersion = -1;
     private long viewMillis;
@@ -49,11 +49,13 @@
     SlotOwnership(
             MembershipView view,
             LimitSettings settings,
+            SplitTable splits,
             SlotLocator locator,
             LongSupplier callNumbers,
             RandomGenerator random) {
         this.view = view;
         this.settings = settings;
+        this.splits = splits;
         this.locator = locator;
         this.callNumbers = callNumbers;
         this.backoff = new Backoff(BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
@@ -115,15 +117,15 @@
         slots.get(slot).settle(version);
     }
 
-    void configure(SplitTable next, Set<Integer> moved) {
+    /** Follows a change of the splits from a former configuration version. */
+    void configure(long former, Set<Integer> moved) {
         for (SlotState state : slots) {
             if (moved.contains(state.slot())) {
-                state.settle(next.version());
+                state.settle(splits.version());
             } else {
-                state.carryGrowth(splits.version(), next.version());
+                state.carryGrowth(former, splits.version());
             }
         }
-        splits = next;
     }
 
     /** Begins to give up all slots; their records are written without an owner. */
@@ -197,7 +199,7 @@
 
     /** Records that the slot has shrunk, and then, when all other data centres have too, that it may grow. */
     private void advanceVersions(SlotState state, SlotRecord record, ShareLender lender, long nowMillis, Outbox out) {
-        long wanted = splits.slotVersion(state.slot(), settings.slots());
+        long wanted = splits.slotVersion(state.slot());
         if (wanted > state.grownVersion()) {
             state.want(wanted);
         }
@@ -251,10 +253,7 @@
     /** A VM that has just started takes itself for the only candidate, so the view must have been stable for a while. */
     private boolean isCandidate(int slot, long nowMillis) {
         boolean stable = nowMillis - viewMillis >= STABLE_VIEW_MILLIS;
-        return stable
-                && locator.candidate(view.self().dataCentre(), slot)
-                        .filter(c -> c.vm().equals(view.self().vm()))
-                        .isPresent();
+        return stable && locator.isOwnCandidate(slot);
     }
 
     private boolean isVacant(SlotRecord record) {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SplitTable.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SplitTable.java
@@ -1,6 +1,6 @@
 package org.hyssopswitch.core.limit;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,27 +18,29 @@
 import org.hyssopswitch.core.identity.ClientAccountId;
 import org.hyssopswitch.core.identity.DataCentreId;
 import org.hyssopswitch.core.identity.DatabaseId;
+import org.hyssopswitch.core.identity.TeamId;
 
-/** The splits of all client accounts under one configuration, and the cells of each data centre. */
+/**
+ * The splits of client accounts under the configuration in force, and the cells of each data centre. A new
+ * configuration costs time for its changed subtrees only.
+ */
 final class SplitTable {
 
-    static final SplitTable EMPTY = new SplitTable(Configuration.EMPTY);
-
-    private final long version;
-    private final Map<ClientAccountId, AccountSplit> splits = new HashMap<>();
-    private final Map<Integer, Long> slotVersions = new HashMap<>();
-    private final Map<DataCentreId, List<CellId>> cells = new TreeMap<>();
-
-    SplitTable(Configuration configuration) {
-        this.version = configuration.version();
-        Map<DatabaseId, DatabasePlaces> places = new HashMap<>();
-        for (TeamConfiguration team : configuration.teams().values()) {
-            team.databases().forEach(d -> places.put(d.id(), DatabasePlaces.of(d, team.version())));
-        }
-        for (TeamConfiguration team : configuration.teams().values()) {
-            team.accounts().forEach(a -> splits.put(a.id(), split(a, team.version(), places)));
-        }
-        collectCells(configuration);
+    private final Map<DatabaseId, Place> places = new HashMap<>();
+    private final Map<ClientAccountId, Declared> declared = new HashMap<>();
+    private final Map<DatabaseId, Set<ClientAccountId>> users = new HashMap<>();
+    private final Map<DataCentreId, TreeMap<CellId, Integer>> cells = new TreeMap<>();
+    private final long[] slotVersions;
+    private Map<TeamId, TeamConfiguration> teams = Map.of();
+    private long version;
+
+    /**
+     * Creates a table of no configuration.
+     *
+     * @param slots slots per data centre
+     */
+    SplitTable(int slots) {
+        slotVersions = new long[slots];
     }
 
     /** The configuration version. */
@@ -47,7 +49,7 @@
     }
 
     Optional<AccountSplit> find(ClientAccountId account) {
-        return Optional.ofNullable(splits.get(account));
+        return Optional.ofNullable(declared.get(account)).map(this::split);
     }
 
     /** The data centres named by the configuration. */
@@ -57,68 +59,124 @@
 
     /** The cells that endpoints of a data centre belong to, in order of their names. */
     List<CellId> cells(DataCentreId dataCentre) {
-        return cells.getOrDefault(dataCentre, List.of());
+        TreeMap<CellId, Integer> counts = cells.get(dataCentre);
+        return counts == null ? List.of() : List.copyOf(counts.keySet());
     }
 
-    /** The highest version of the splits of a slot's accounts; 0 when it has none. */
-    long slotVersion(int slot, int slots) {
-        if (slotVersions.isEmpty()) {
-            splits.forEach((account, split) ->
-                    slotVersions.merge(SlotUtils.slotOf(account, slots), split.version(), Math::max));
-        }
-        return slotVersions.getOrDefault(slot, 0L);
+    /** The highest version of the splits of a slot's accounts; 0 when it never had any. */
+    long slotVersion(int slot) {
+        return slotVersions[slot];
+    }
+
+    /** Takes a configuration and returns the accounts whose data centres differ from before. */
+    Set<ClientAccountId> apply(Configuration next) {
+        List<TeamConfiguration> removed = new ArrayList<>();
+        List<TeamConfiguration> added = new ArrayList<>();
+        compare(next, removed, added);
+        Set<ClientAccountId> touched = new HashSet<>();
+        removed.forEach(t -> touch(t, touched));
+        added.forEach(t -> touch(t, touched));
+        Map<ClientAccountId, List<DataCentreId>> before = new HashMap<>();
+        touched.forEach(a -> before.put(a, dataCentres(a)));
+        removed.forEach(this::remove);
+        added.forEach(this::add);
+        teams = next.teams();
+        version = next.version();
+        touched.forEach(this::raiseSlotVersion);
+        touched.removeIf(a -> dataCentres(a).equals(before.get(a)));
+        return touched;
     }
 
-    /** The slots of accounts whose data centres differ from those of an earlier table. */
-    Set<Integer> movedSlots(SplitTable earlier, int slots) {
-        Set<Integer> moved = new HashSet<>();
-        Set<ClientAccountId> accounts = new HashSet<>(splits.keySet());
-        accounts.addAll(earlier.splits.keySet());
-        for (ClientAccountId account : accounts) {
-            if (!places(account).equals(earlier.places(account))) {
-                moved.add(SlotUtils.slotOf(account, slots));
+    private void compare(Configuration next, List<TeamConfiguration> removed, List<TeamConfiguration> added) {
+        for (TeamConfiguration team : teams.values()) {
+            TeamConfiguration now = next.teams().get(team.team());
+            if (now == null || now.version() != team.version()) {
+                removed.add(team);
             }
         }
-        return moved;
+        for (TeamConfiguration team : next.teams().values()) {
+            TeamConfiguration then = teams.get(team.team());
+            if (then == null || then.version() != team.version()) {
+                added.add(team);
+            }
+        }
+    }
+
+    /** Collects the accounts of a team and those that use its databases. */
+    private void touch(TeamConfiguration team, Set<ClientAccountId> touched) {
+        team.accounts().forEach(a -> touched.add(a.id()));
+        team.databases().forEach(d -> touched.addAll(users.getOrDefault(d.id(), Set.of())));
+    }
+
+    private void remove(TeamConfiguration team) {
+        for (DatabaseDeclaration database : team.databases()) {
+            places.remove(database.id());
+            database.endpoints().forEach(e -> count(e, -1));
+        }
+        for (AccountDeclaration account : team.accounts()) {
+            declared.remove(account.id());
+            account.databases()
+                    .forEach(d -> users.getOrDefault(d, new HashSet<>()).remove(account.id()));
+        }
+    }
+
+    private void add(TeamConfiguration team) {
+        for (DatabaseDeclaration database : team.databases()) {
+            places.put(database.id(), Place.of(database, team.version()));
+            database.endpoints().forEach(e -> count(e, 1));
+        }
+        for (AccountDeclaration account : team.accounts()) {
+            declared.put(account.id(), new Declared(account, team.version()));
+            account.databases()
+                    .forEach(d -> users.computeIfAbsent(d, k -> new HashSet<>()).add(account.id()));
+        }
+    }
+
+    private void count(EndpointDeclaration endpoint, int change) {
+        TreeMap<CellId, Integer> counts = cells.computeIfAbsent(endpoint.dataCentre(), d -> new TreeMap<>());
+        if (counts.merge(endpoint.cell(), change, Integer::sum) <= 0) {
+            counts.remove(endpoint.cell());
+        }
+        if (counts.isEmpty()) {
+            cells.remove(endpoint.dataCentre());
+        }
+    }
+
+    private void raiseSlotVersion(ClientAccountId account) {
+        int slot = SlotUtils.slotOf(account, slotVersions.length);
+        long changed = find(account).map(AccountSplit::version).orElse(0L);
+        slotVersions[slot] = Math.max(slotVersions[slot], changed);
     }
 
-    private List<DataCentreId> places(ClientAccountId account) {
+    private List<DataCentreId> dataCentres(ClientAccountId account) {
         return find(account).map(AccountSplit::dataCentres).orElse(List.of());
     }
 
-    private static AccountSplit split(
-            AccountDeclaration account, long teamVersion, Map<DatabaseId, DatabasePlaces> places) {
+    private AccountSplit split(Declared source) {
         Set<DataCentreId> dataCentres = new TreeSet<>();
-        long version = teamVersion;
-        for (DatabaseId database : account.databases()) {
-            DatabasePlaces place = places.get(database);
+        long changed = source.version();
+        for (DatabaseId database : source.account().databases()) {
+            Place place = places.get(database);
             if (place != null) {
                 dataCentres.addAll(place.dataCentres());
-                version = Math.max(version, place.version());
+                changed = Math.max(changed, place.version());
             }
         }
-        return AccountSplit.of(account.id(), account.rate(), List.copyOf(dataCentres), version);
+        AccountDeclaration account = source.account();
+        return AccountSplit.of(account.id(), account.rate(), List.copyOf(dataCentres), changed);
     }
 
-    private void collectCells(Configuration configuration) {
-        Map<DataCentreId, Set<CellId>> found = new TreeMap<>(Comparator.naturalOrder());
-        for (TeamConfiguration team : configuration.teams().values()) {
-            for (DatabaseDeclaration database : team.databases()) {
-                for (EndpointDeclaration endpoint : database.endpoints()) {
-                    found.computeIfAbsent(endpoint.dataCentre(), d -> new TreeSet<>())
-                            .add(endpoint.cell());
-                }
-            }
-        }
-        found.forEach((dataCentre, set) -> cells.put(dataCentre, List.copyOf(set)));
-    }
+    private record Declared(AccountDeclaration account, long version) {}
 
-    private record DatabasePlaces(Set<DataCentreId> dataCentres, long version) {
+    private record Place(List<DataCentreId> dataCentres, long version) {
 
-        static DatabasePlaces of(DatabaseDeclaration database, long version) {
-            Set<DataCentreId> found = new TreeSet<>();
-            database.endpoints().forEach(e -> found.add(e.dataCentre()));
-            return new DatabasePlaces(found, version);
+        static Place of(DatabaseDeclaration database, long version) {
+            return new Place(
+                    database.endpoints().stream()
+                            .map(EndpointDeclaration::dataCentre)
+                            .distinct()
+                            .toList(),
+                    version);
         }
     }
 }
