--- /dev/null
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Microbenchmarks of the hot paths. */
+package org.hyssopswitch.bench.jmh;
--- a/hyssopswitch-bench/src/test/java/org/hyssopswitch/bench/fleet/FleetGrowthTests.java
+++ b/hyssopswitch-bench/src/test/java/org/hyssopswitch/bench/fleet/FleetGrowthTests.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.bench.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.function.ToDoubleFunction;
@@ -50,6 +51,18 @@
         assertConstant("membership bytes", small, large, v -> v.traffic().bytes("membership"));
     }
 
+    @Test
+    void theCheckNoticesAQuantityThatGrows() {
+        Fleet small = run(new FleetShape(1, 1, 8, 2, 1));
+        Fleet large = run(new FleetShape(1, 1, 16, 2, 1));
+        assertThrows(
+                AssertionError.class,
+                () -> assertConstant("own cell", small, large, v -> v.cluster()
+                        .membership()
+                        .live(v.self().cell())
+                        .size()));
+    }
+
     @Test
     void aConfigurationChangeReachesEveryVmOfALargeFleet() {
         Fleet fleet = run(dataCentres(12));
