--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
@@ -222,8 +222,8 @@
             if (dataCentre.equals(view.self().dataCentre())) {
                 continue;
             }
-            SlotRecord other = state.others().get(dataCentre);
-            if (other == null || !permitsGrowth(other, state.wantedVersion())) {
+            Optional<SlotRecord> other = Optional.ofNullable(state.others().get(dataCentre));
+            if (other.filter(r -> permitsGrowth(r, state.wantedVersion())).isEmpty()) {
                 complete = false;
                 state.others().remove(dataCentre);
                 read(state, dataCentre, out);
@@ -237,12 +237,11 @@
         }
     }
 
-    private void askToSettle(SlotRecord other, DataCentreId dataCentre, SlotState state, Outbox out) {
-        if (other != null && other.settledVersion() < state.wantedVersion()) {
-            other.owner()
-                    .ifPresent(o -> out.add(new Action.SendMessage(
-                            o, new SettleRequest(dataCentre, state.slot(), state.wantedVersion()))));
-        }
+    private void askToSettle(Optional<SlotRecord> other, DataCentreId dataCentre, SlotState state, Outbox out) {
+        other.filter(r -> r.settledVersion() < state.wantedVersion())
+                .flatMap(SlotRecord::owner)
+                .ifPresent(o -> out.add(new Action.SendMessage(
+                        o, new SettleRequest(dataCentre, state.slot(), state.wantedVersion()))));
     }
 
     /** A record settled for a version that this VM does not know yet may have given room to somebody else. */
