--- a/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/fleet/Fleet.java
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/fleet/Fleet.java
@@ -30,6 +30,7 @@
     private static final long CALL_MILLIS = 5;
 
     private final FleetShape shape;
+    private final FleetShape declared;
     private final List<FleetVm> vms = new ArrayList<>();
     private final Map<VmAddress, FleetVm> byAddress = new HashMap<>();
     private final FleetPlatform platform = new FleetPlatform();
@@ -51,9 +52,21 @@
      * @param seed seed of all randomness
      */
     public Fleet(FleetShape shape, long seed) {
+        this(shape, shape, seed);
+    }
+
+    /**
+     * Starts the VMs of one part of a fleet, whose databases are declared for all of it.
+     *
+     * @param shape the VMs that run
+     * @param declared the fleet over whose cells the endpoints are spread; decides the number of databases
+     * @param seed seed of all randomness
+     */
+    public Fleet(FleetShape shape, FleetShape declared, long seed) {
         this.shape = shape;
+        this.declared = declared;
         this.random = new SplittableRandom(seed);
-        for (int i = 0; i < shape.databases(); i++) {
+        for (int i = 0; i < declared.databases(); i++) {
             declare(i);
         }
         List<VmAddress> addresses = FleetDeclarations.vms(shape);
@@ -78,7 +91,7 @@
      */
     public void declare(int index) {
         revision++;
-        TeamConfiguration team = FleetDeclarations.subtree(shape, index, revision);
+        TeamConfiguration team = FleetDeclarations.subtree(declared, index, revision);
         endpoints.declare(team);
         platform.write("config/teams/" + team.team(), declarations.encode(team));
     }
--- a/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/slope/ChangeMeasurement.java
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/slope/ChangeMeasurement.java
@@ -47,8 +47,8 @@
 
     private static List<Slope> deltasBySize() {
         SlopeCollector collector = new SlopeCollector("declared database with 4 client accounts");
-        for (int databases : new int[] {200, 400, 800, 1_200}) {
-            Fleet fleet = settled(new FleetShape(1, 1, 2, databases, 4));
+        for (int databases : new int[] {500, 1_000, 2_000, 3_000}) {
+            Fleet fleet = settled(part(databases));
             change(fleet);
             Cost quiet = cost(fleet, () -> fleet.run(CHANGE_MILLIS * CHANGES));
             Cost changed = cost(fleet, () -> change(fleet));
@@ -86,8 +86,8 @@
 
     private static List<Slope> catchUps() {
         SlopeCollector collector = new SlopeCollector("declared database with 4 client accounts");
-        for (int databases : new int[] {100, 200, 300, 400}) {
-            Fleet fleet = settled(new FleetShape(1, 1, 4, databases, 4));
+        for (int databases : new int[] {250, 500, 1_000, 2_000}) {
+            Fleet fleet = settled(part(databases));
             Cost quiet = cost(fleet, () -> fleet.run(CATCH_UP_MILLIS));
             Cost started = cost(fleet, () -> {
                 fleet.restart(3);
@@ -104,8 +104,16 @@
         return collector.slopes();
     }
 
+    /** One cell of a fleet with many, so that its VMs are home to few of the declared endpoints. */
+    private static Fleet part(int databases) {
+        return new Fleet(new FleetShape(1, 1, 4, 0, 0), new FleetShape(24, 3, 4, databases, 4), 4);
+    }
+
     private static Fleet settled(FleetShape shape) {
-        Fleet fleet = new Fleet(shape, 4);
+        return settled(new Fleet(shape, 4));
+    }
+
+    private static Fleet settled(Fleet fleet) {
         fleet.run(SETTLE_MILLIS);
         return fleet;
     }
--- a/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/slope/MeasureSlopes.java
+++ b/hyssopswitch-bench/src/main/java/org/hyssopswitch/bench/slope/MeasureSlopes.java
@@ -3,8 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -20,6 +21,9 @@
     @Option(names = "--output", description = "File to write.", defaultValue = "docs/capacity/slopes.csv")
     private Path output;
 
+    @Option(names = "--only", description = "Name of one group to measure again; the others are kept.")
+    private String only = "";
+
     /** Creates the command. */
     public MeasureSlopes() {}
 
@@ -42,14 +46,20 @@
                 new StormMeasurement(),
                 new StatementMeasurement(),
                 new MemoryMeasurement());
-        List<Slope> slopes = new ArrayList<>();
+        Map<String, Slope> slopes = new LinkedHashMap<>();
+        if (!only.isEmpty()) {
+            SlopeTable.decode(Files.readAllLines(output)).slopes().forEach(s -> slopes.put(s.id(), s));
+        }
         for (Measurement measurement : measurements) {
+            if (!measurement.getClass().getSimpleName().startsWith(only)) {
+                continue;
+            }
             List<Slope> measured = measurement.measure();
             measured.forEach(MeasureSlopes::print);
-            slopes.addAll(measured);
+            measured.forEach(s -> slopes.put(s.id(), s));
         }
         Files.createDirectories(output.toAbsolutePath().getParent());
-        Files.write(output, new SlopeTable(slopes).encode());
+        Files.write(output, new SlopeTable(slopes.values()).encode());
         return 0;
     }
 
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/SlotOwnership.java
@@ -240,8 +240,8 @@
     private void askToSettle(Optional<SlotRecord> other, DataCentreId dataCentre, SlotState state, Outbox out) {
         other.filter(r -> r.settledVersion() < state.wantedVersion())
                 .flatMap(SlotRecord::owner)
-                .ifPresent(o -> out.add(new Action.SendMessage(
-                        o, new SettleRequest(dataCentre, state.slot(), state.wantedVersion()))));
+                .ifPresent(o -> out.add(
+                        new Action.SendMessage(o, new SettleRequest(dataCentre, state.slot(), state.wantedVersion()))));
     }
 
     /** A record settled for a version that this VM does not know yet may have given room to somebody else. */
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/SlotRecordTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/limit/SlotRecordTests.java
@@ -32,21 +32,21 @@
 
     @Test
     void takesAMissingObjectForASlotThatWasNeverOwned() {
-        assertEquals(
-                SlotRecord.NEVER_OWNED, SlotRecord.decode("p", new byte[0]).get());
+        assertEquals(SlotRecord.NEVER_OWNED, SlotRecord.decode("p", new byte[0]).get());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"x", "epoch=1", "epoch=a\nsettled=1\ngrown=1\ndatacentres=", "epoch=-1\nsettled=0\ngrown=0\n"})
+    @ValueSource(
+            strings = {"x", "epoch=1", "epoch=a\nsettled=1\ngrown=1\ndatacentres=", "epoch=-1\nsettled=0\ngrown=0\n"})
     void reportsAMalformedValue(String value) {
-        assertTrue(SlotRecord.decode("p", value.getBytes(StandardCharsets.UTF_8)).isLeft());
+        assertTrue(
+                SlotRecord.decode("p", value.getBytes(StandardCharsets.UTF_8)).isLeft());
     }
 
     @Test
     void refusesReportsAndSharesWithNegativeNumbers() {
         ClientAccountId account = new ClientAccountId("a");
-        assertThrows(
-                IllegalArgumentException.class, () -> new ShareDemand(account, 1, 1, Double.NaN, 0, 0, 0, 0, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ShareDemand(account, 1, 1, Double.NaN, 0, 0, 0, 0, 0));
         assertThrows(IllegalArgumentException.class, () -> new ShareDemand(account, 1, 1, 1, 1, 0, -1, 0, 0));
         assertThrows(IllegalArgumentException.class, () -> new ShareLease(account, 1, 1, -1, 0, 0, 1));
     }
