--- a/hyssopswitch-app/src/main/java/org/hyssopswitch/app/HyssopswitchMain.java
+++ b/hyssopswitch-app/src/main/java/org/hyssopswitch/app/HyssopswitchMain.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.app;
 
+import org.hyssopswitch.app.demo.DemoCommand;
 import org.hyssopswitch.core.failure.HyssopException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -13,7 +14,7 @@
         description = "A database proxy with session consistency.",
         mixinStandardHelpOptions = true,
         versionProvider = ProgramVersion.class,
-        subcommands = {RunCommand.class},
+        subcommands = {RunCommand.class, DemoCommand.class},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {
             "0:success",
--- a/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/AccountProfile.java
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/AccountProfile.java
@@ -33,4 +33,8 @@
     public AccountProfile withDemandTimes(double factor) {
         return new AccountProfile(name, ratePerSecond, burst, demandPerSecond * factor, sessions);
     }
+
+    AccountProfile ownedBy(String team) {
+        return new AccountProfile(team + "." + name, ratePerSecond, burst, demandPerSecond, sessions);
+    }
 }
--- a/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/Deployment.java
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/Deployment.java
@@ -31,4 +31,9 @@
                     + dataCentres + ", " + databases + ", " + vms + " and " + endpoints);
         }
     }
+
+    Deployment ownedBy(String team) {
+        List<String> owned = databases.stream().map(d -> team + "." + d).toList();
+        return new Deployment(dataCentres, vms, owned, endpoints, slots, connections, connectionCostMillis);
+    }
 }
--- a/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/LoadProfile.java
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/profile/LoadProfile.java
@@ -58,6 +58,16 @@
         return new LoadProfile(name, deployment, scaled, traffic);
     }
 
+    /**
+     * Puts the databases and client accounts below a team, as declarations require.
+     *
+     * @param team name of the team
+     */
+    public LoadProfile ownedBy(String team) {
+        List<AccountProfile> owned = accounts.stream().map(a -> a.ownedBy(team)).toList();
+        return new LoadProfile(name, deployment.ownedBy(team), owned, traffic);
+    }
+
     /** Operations that arrive in a second on average, over all client accounts. */
     public double demandPerSecond() {
         return accounts.stream().mapToDouble(AccountProfile::demandPerSecond).sum();
