Test that an open link fails when the other VM stops reading

Only links in the handshake were tested against a VM that does not read. The new test blocks the reader of an open link; the sender's queue is bounded and the link fails.

--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
@@ -14,6 +14,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hyssopswitch.core.identity.CellId;
 import org.hyssopswitch.core.identity.DataCentreId;
@@ -135,6 +137,24 @@
         }
     }
 
+    @Test
+    void anOpenLinkFailsWhenTheOtherVmStopsReading() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        GrizzlyPeerTransport a = open("a", 1, SECRET, first);
+        GrizzlyPeerTransport b = open("b", 1, SECRET, new BlockingListener(arrived, goOn));
+        try {
+            a.send(b.self(), new SampleMessages.Text("the link is open"));
+            assertTrue(arrived.await(20, TimeUnit.SECONDS));
+            for (int i = 0; i < 100; i++) {
+                a.send(b.self(), new SampleMessages.Numbered(i, new byte[500_000]));
+            }
+            assertEquals(b.self(), first.nextFailure());
+        } finally {
+            goOn.countDown();
+        }
+    }
+
     @Test
     void aReplayedHandshakeIsRefused() throws Exception {
         GrizzlyPeerTransport b = open("b", 1, SECRET, second);
@@ -225,6 +245,23 @@
         return address(address.vm().value(), incarnation, address.port());
     }
 
+    /** Blocks the thread that reads. */
+    private record BlockingListener(CountDownLatch arrived, CountDownLatch goOn) implements PeerListener {
+
+        @Override
+        public void messageReceived(VmAddress from, PeerMessage message) {
+            arrived.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void linkFailed(VmAddress to) {}
+    }
+
     /** A plain socket that speaks frames. */
     private static final class RawLink implements AutoCloseable {
 
