--- a/hyssopswitch-app/src/main/java/org/hyssopswitch/app/RunCommand.java
+++ b/hyssopswitch-app/src/main/java/org/hyssopswitch/app/RunCommand.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.proxy.vm.VmLauncher;
@@ -28,6 +29,9 @@
 
     private static final Logger LOG = LogManager.getLogger(RunCommand.class);
 
+    /** Grizzly logs through the JDK; kept here because the JDK holds its loggers weakly. */
+    private static final java.util.logging.Logger GRIZZLY = java.util.logging.Logger.getLogger("org.glassfish.grizzly");
+
     @Spec
     private CommandSpec spec;
 
@@ -40,6 +44,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
+        GRIZZLY.setLevel(Level.WARNING);
         Either<SettingsFailure, VmSettings> read = new VmSettingsReader().read(settings);
         if (read.isLeft()) {
             read.getLeft().mistakes().forEach(m -> spec.commandLine().getErr().println(m.describe()));
