Close links that fail at the same time without an error

Change: the links are taken under the lock, then closed; a test closes transports while their links are refused. Measured: the tests of the transport pass; the race itself was seen once and not provoked again. Conclusion: a graceful stop closes all links.

--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -60,12 +61,16 @@
     }
 
     void close() {
-        List<Slot> all;
+        List<OutboundLink> open;
         synchronized (slots) {
-            all = List.copyOf(slots.values());
+            // A link that fails meanwhile leaves its slot, so the links are taken under the lock.
+            open = slots.values().stream()
+                    .map(s -> s.link)
+                    .filter(Objects::nonNull)
+                    .toList();
             slots.clear();
         }
-        all.stream().filter(s -> s.link != null).forEach(s -> s.link.close());
+        open.forEach(OutboundLink::close);
     }
 
     /** The slot of a VM; a newer incarnation takes the place of an older one. */
--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
@@ -107,6 +107,19 @@
         assertTrue(second.receivedNothing());
     }
 
+    @Test
+    void closesWhileItsLinksFail() throws Exception {
+        GrizzlyPeerTransport b = open("b", 1, SECRET, second);
+        for (int i = 0; i < 50; i++) {
+            RecordingListener listener = new RecordingListener();
+            GrizzlyPeerTransport stranger = open("a", 1, "another secret of some length", listener);
+            stranger.send(b.self(), new SampleMessages.Text("refused"));
+            stranger.close();
+            assertEquals(b.self(), listener.nextFailure());
+        }
+        assertTrue(second.receivedNothing());
+    }
+
     @Test
     void aLinkIsDialledAgainOnlyAfterTheBackoff() throws Exception {
         GrizzlyPeerTransport a = open("a", 1, SECRET, first);
