Hold every loss of a primary to the median goal and list the two that miss it

Cause: the test of the failover gap passed over the median for a paused orderer and for the death of all homes; the goal of 2 s makes no such exception. Conclusion: detection after the death of the homes themselves has to become faster.

--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/FailoverGapTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/suite/FailoverGapTests.java
@@ -9,6 +9,7 @@
 import org.hyssopswitch.core.failover.DefaultSuspicionPolicy;
 import org.hyssopswitch.core.failover.FailoverSettings;
 import org.hyssopswitch.core.failover.SuspicionPolicy;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -29,13 +30,29 @@
     @EnumSource(
             value = Fault.class,
             names = {"PRIMARY_CUT_OFF", "REPLICATION_CUT", "PRIMARY_CRASHES", "ORDERER_PAUSED", "HOMES_DIE"})
-    void staysWithinTheGoal(Fault fault) {
+    void neverExceedsTheLongestGap(Fault fault) {
         long[] gaps = gaps(fault, POLICY);
         long[] baseline = gaps(fault, BASELINE);
         System.out.println("gap fault=" + fault + " " + describe(gaps) + " baseline: " + describe(baseline));
         assertTrue(gaps[gaps.length - 1] < LONGEST_GOAL_MILLIS, () -> describe(gaps));
-        boolean second = fault == Fault.ORDERER_PAUSED || fault == Fault.HOMES_DIE;
-        assertTrue(second || gaps[gaps.length / 2] < MEDIAN_GOAL_MILLIS, () -> describe(gaps));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"PRIMARY_CUT_OFF", "REPLICATION_CUT", "PRIMARY_CRASHES"})
+    void keepsTheMedianGoal(Fault fault) {
+        assertMedian(fault);
+    }
+
+    /** The loss of the primary together with the VMs that would replace it; see KNOWN-RED.txt. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"ORDERER_PAUSED", "HOMES_DIE"})
+    void keepsTheMedianGoalAfterASecondFailure(Fault fault) {
+        assertMedian(fault);
     }
 
     @Test
@@ -47,6 +64,11 @@
         assertTrue(baseline > 0);
     }
 
+    private static void assertMedian(Fault fault) {
+        long[] gaps = gaps(fault, POLICY);
+        assertTrue(gaps[gaps.length / 2] < MEDIAN_GOAL_MILLIS, () -> describe(gaps));
+    }
+
     private static long[] gaps(Fault fault, SuspicionPolicy policy) {
         return LongStream.rangeClosed(1, SEEDS)
                 .map(seed -> gap(run(seed, fault, policy)))
