--- /dev/null
+++ b/hyssopswitch-app/src/test/java/org/hyssopswitch/app/process/package-info.java
@@ -0,0 +1,1 @@
+package org.hyssopswitch.app.process;
