Remove settings that nothing reads, and keep the own cell's endpoints

Cause: tuning.pool, queue.maxWaitMillis and callers.maxFrameBytes were accepted and had no effect; the homes passed over all declared databases every 100 ms. Change: the settings are gone, so that a file that names them is refused; the endpoints of the own cell are kept when a configuration comes into force. Conclusion: a setting does what it says, and periodic work does not grow with the declared databases.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeService.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeService.java
@@ -41,7 +41,7 @@
     private final Confirmations confirmations = new Confirmations();
     private final Map<EndpointId, EndpointHome> homes = new HashMap<>();
     private final Map<EndpointId, ControlLines> lines = new HashMap<>();
-    private Configuration configuration = Configuration.EMPTY;
+    private List<OwnEndpoint> ownCell = List.of();
 
     /**
      * Creates a service that is home to nothing.
@@ -72,7 +72,10 @@
      * @param next the configuration
      */
     public void configure(Configuration next) {
-        configuration = next;
+        ownCell = next.databases().values().stream()
+                .flatMap(d -> d.endpoints().stream().map(e -> new OwnEndpoint(d, e)))
+                .filter(o -> o.endpoint().cell().equals(options.self().cell()))
+                .toList();
         place();
     }
 
@@ -183,11 +186,7 @@
     /** Opens the homes that the placement assigns to this VM and drains the others. */
     private void place() {
         Map<EndpointId, EndpointDeclaration> mine = new HashMap<>();
-        for (DatabaseDeclaration database : configuration.databases().values()) {
-            database.endpoints().stream()
-                    .filter(e -> e.cell().equals(options.self().cell()))
-                    .forEach(e -> place(database, e, mine));
-        }
+        ownCell.forEach(o -> place(o.database(), o.endpoint(), mine));
         for (EndpointHome home : new ArrayList<>(homes.values())) {
             if (!home.endpoint().equals(mine.get(home.endpoint().id()))) {
                 leave(home);
@@ -228,6 +227,9 @@
         }
     }
 
+    /** An endpoint of this VM's cell; kept so that periodic work does not pass over all declared databases. */
+    private record OwnEndpoint(DatabaseDeclaration database, EndpointDeclaration endpoint) {}
+
     /** The two control connections of an endpoint; waits have their own, so that they do not delay other calls. */
     private static final class ControlLines {
 
--- a/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/TuningSettings.java
+++ b/hyssopswitch-settings/src/main/java/org/hyssopswitch/settings/TuningSettings.java
@@ -10,11 +10,10 @@
  * @param engine the decision engine
  * @param callers connections of callers
  * @param queue statements that wait at a home
- * @param pool connections to endpoints
  * @param peers links to other VMs
  * @param shutdown the graceful end
  */
-public record TuningSettings(Engine engine, Callers callers, Queue queue, Pool pool, Peers peers, Shutdown shutdown) {
+public record TuningSettings(Engine engine, Callers callers, Queue queue, Peers peers, Shutdown shutdown) {
 
     /**
      * The decision engine.
@@ -28,36 +27,19 @@
      *
      * @param maxConnections connections at once
      * @param startupTimeoutMillis milliseconds in which a caller must authenticate
-     * @param maxFrameBytes greatest length of a frame
      * @param statementTimeoutMillis milliseconds that a statement may take, its wait included
      */
     public record Callers(
             @DefaultValue("10000") @Min(1) @Max(1_000_000) int maxConnections,
             @DefaultValue("10000") @Min(100) @Max(120_000) long startupTimeoutMillis,
-            @DefaultValue("16777216") @Min(8_192) @Max(1_073_741_823) int maxFrameBytes,
             @DefaultValue("30000") @Min(100) @Max(3_600_000) long statementTimeoutMillis) {}
 
     /**
      * Statements that wait at a home.
      *
      * @param maxStatementsPerAccount statements of one client account that may wait for one endpoint
-     * @param maxWaitMillis milliseconds that a statement may wait
-     */
-    public record Queue(
-            @DefaultValue("256") @Min(1) @Max(1_000_000) int maxStatementsPerAccount,
-            @DefaultValue("5000") @Min(1) @Max(600_000) long maxWaitMillis) {}
-
-    /**
-     * Connections to endpoints.
-     *
-     * @param connectTimeoutMillis milliseconds in which a connection must be ready
-     * @param idleMillis milliseconds after which an idle connection above the warm ones is closed
-     * @param warmConnections idle connections that are kept ready for each endpoint
      */
-    public record Pool(
-            @DefaultValue("2000") @Min(10) @Max(60_000) long connectTimeoutMillis,
-            @DefaultValue("30000") @Min(100) @Max(3_600_000) long idleMillis,
-            @DefaultValue("1") @Min(0) @Max(1_000) int warmConnections) {}
+    public record Queue(@DefaultValue("256") @Min(1) @Max(1_000_000) int maxStatementsPerAccount) {}
 
     /**
      * Links to other VMs.
