--- a/hyssopswitch-load/src/main/java/org/hyssopswitch/load/LoadRunner.java
+++ b/hyssopswitch-load/src/main/java/org/hyssopswitch/load/LoadRunner.java
@@ -24,7 +24,7 @@
 
     private static final long PROGRESS_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long PREPARE_POLL_MILLIS = 10;
-    private static final int READ_TRIES = 20;
+    private static final long READ_SECONDS = 20;
     private static final long READ_RETRY_MILLIS = 250;
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -146,9 +146,10 @@
             }
         }
         unaudited.removeAll(readers.keySet());
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(READ_SECONDS);
         for (Map.Entry<String, SessionWorker> reader : readers.entrySet()) {
             SessionIdentity identity = reader.getValue().identity();
-            Optional<List<LedgerRequest>> rows = readLedger(reader.getValue());
+            Optional<List<LedgerRequest>> rows = readLedger(reader.getValue(), deadline);
             rows.ifPresent(r -> context.audit().reconcile(identity.database(), identity.account(), r));
             if (rows.isEmpty()) {
                 unaudited.add(reader.getKey());
@@ -158,9 +159,10 @@
     }
 
     /** Reads a ledger, at another VM after each failure; a refusal of the audit's own read is no finding. */
-    private static Optional<List<LedgerRequest>> readLedger(SessionWorker reader) throws InterruptedException {
+    private static Optional<List<LedgerRequest>> readLedger(SessionWorker reader, long deadlineNanos)
+            throws InterruptedException {
         Optional<List<LedgerRequest>> rows = reader.readLedger();
-        for (int i = 1; i < READ_TRIES && rows.isEmpty(); i++) {
+        while (rows.isEmpty() && System.nanoTime() - deadlineNanos < 0) {
             Thread.sleep(READ_RETRY_MILLIS);
             rows = reader.readLedger();
         }
