--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
@@ -1,7 +1,7 @@
 package org.hyssopswitch.core.limit;
 
 /** A token bucket that starts empty. Times are milliseconds of one monotonic clock. */
-final class TokenBucket {
+public final class TokenBucket {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -14,7 +14,14 @@
     private double reserved;
     private long filledMillis;
 
-    TokenBucket(double ratePerSecond, double burst, long nowMillis) {
+    /**
+     * Creates an empty bucket.
+     *
+     * @param ratePerSecond tokens a second, 0 or more
+     * @param burst tokens that it holds at most
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public TokenBucket(double ratePerSecond, double burst, long nowMillis) {
         this.ratePerSecond = ratePerSecond;
         this.burst = burst;
         this.filledMillis = nowMillis;
@@ -28,14 +35,22 @@
         return burst;
     }
 
-    /** Tokens available now. */
-    double tokens(long nowMillis) {
+    /**
+     * Tokens available now.
+     *
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public double tokens(long nowMillis) {
         refill(nowMillis);
         return tokens;
     }
 
-    /** Takes one token if there is a whole one. */
-    boolean tryTake(long nowMillis) {
+    /**
+     * Takes one token if there is a whole one.
+     *
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public boolean tryTake(long nowMillis) {
         refill(nowMillis);
         if (tokens < 1 - ROUNDING) {
             return false;
@@ -44,14 +59,24 @@
         return true;
     }
 
-    /** Adds tokens that another bucket gave up; those above the burst are lost. */
-    void deposit(double given, long nowMillis) {
+    /**
+     * Adds tokens that another bucket gave up; those above the burst are lost.
+     *
+     * @param given number of tokens
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public void deposit(double given, long nowMillis) {
         refill(nowMillis);
         tokens = Math.min(burst, tokens + given);
     }
 
-    /** Takes up to a number of tokens to hand them to another bucket. */
-    double withdraw(double wanted, long nowMillis) {
+    /**
+     * Takes up to a number of tokens to hand them to another bucket.
+     *
+     * @param wanted number of tokens
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public double withdraw(double wanted, long nowMillis) {
         refill(nowMillis);
         double taken = Math.max(0, Math.min(wanted, tokens));
         tokens -= taken;
@@ -78,16 +103,27 @@
         }
     }
 
-    /** Changes rate and burst; tokens above the new burst are lost and none are gained. */
-    void resize(double newRatePerSecond, double newBurst, long nowMillis) {
+    /**
+     * Changes rate and burst; tokens above the new burst are lost and none are gained.
+     *
+     * @param newRatePerSecond tokens a second, 0 or more
+     * @param newBurst tokens that it holds at most
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    public void resize(double newRatePerSecond, double newBurst, long nowMillis) {
         refill(nowMillis);
         ratePerSecond = newRatePerSecond;
         burst = newBurst;
         tokens = Math.min(tokens, burst);
     }
 
-    /** Milliseconds until a whole token will be available, at most {@code maxMillis}. */
-    long untilTokenMillis(long nowMillis, long maxMillis) {
+    /**
+     * Milliseconds until a whole token will be available.
+     *
+     * @param nowMillis milliseconds of the monotonic clock
+     * @param maxMillis the longest wait to return
+     */
+    public long untilTokenMillis(long nowMillis, long maxMillis) {
         refill(nowMillis);
         if (burst < 1 || ratePerSecond <= 0) {
             return maxMillis;
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -0,0 +1,280 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.catalog.Group;
+import org.hyssopswitch.pool.statement.ErrorCode;
+
+/** The endpoints of one database group as this VM sees them; chooses the endpoint for each statement. */
+public final class DatabaseGroup implements PoolEvents {
+
+    /** Cost of a byte-carrying hop to another data centre, as milliseconds of waiting. */
+    private static final double REMOTE_PENALTY_MILLIS = 8;
+
+    /** Preference of replicas for reads, which keeps the primary free for writes, as milliseconds of waiting. */
+    private static final double PRIMARY_PENALTY_MILLIS = 6;
+
+    /** Milliseconds by which a floor is taken younger than permitted: forwarding and the endpoint's queue. */
+    private static final long STALENESS_MARGIN_MILLIS = 250;
+
+    /** Age of the latest position of the primary from which on a new one is asked for, milliseconds. */
+    private static final long SAMPLE_INTERVAL_MILLIS = 400;
+
+    /** Time for which reads keep the positions of the primary up to date, milliseconds. */
+    private static final long READ_INTEREST_MILLIS = 3_000;
+
+    private static final Logger LOG = LogManager.getLogger(DatabaseGroup.class);
+
+    private final String dataCentre;
+    private final EndpointConnector connector;
+    private final LongSupplier clock;
+    private final Map<String, EndpointPool> pools = new HashMap<>();
+    private final PositionSamples samples = new PositionSamples();
+    private final List<Work> leaderless = new ArrayList<>();
+    private Group group;
+    private int vms;
+    private Option<String> primaryId = Option.none();
+    private long primaryRevision = -1;
+    private long lastReadMillis = Long.MIN_VALUE / 2;
+    private long lastSampleMillis = Long.MIN_VALUE / 2;
+
+    DatabaseGroup(Group group, int vms, String dataCentre, EndpointConnector connector, LongSupplier clock) {
+        this.group = group;
+        this.vms = vms;
+        this.dataCentre = dataCentre;
+        this.connector = connector;
+        this.clock = clock;
+    }
+
+    /** Name of the group. */
+    public String name() {
+        return group.name();
+    }
+
+    /** Its declaration. */
+    public Group declaration() {
+        return group;
+    }
+
+    /** The endpoint taken for the primary. */
+    public Option<Endpoint> primary() {
+        return primaryId.flatMap(id -> Option.of(pools.get(id))).map(EndpointPool::endpoint);
+    }
+
+    /** The listed endpoints. */
+    public List<Endpoint> endpoints() {
+        return pools.values().stream().map(EndpointPool::endpoint).toList();
+    }
+
+    /**
+     * Whether this VM reaches an endpoint.
+     *
+     * @param endpointId the endpoint
+     */
+    public boolean reaches(String endpointId) {
+        EndpointPool pool = pools.get(endpointId);
+        return pool != null && pool.reachable();
+    }
+
+    /** The latest term that a primary has proven; -1 before the first proof. */
+    public long term() {
+        return samples.term();
+    }
+
+    /**
+     * Has a statement or transaction run, or refuses it.
+     *
+     * @param work the work
+     */
+    public void submit(Work work) {
+        if (!work.primaryOnly()) {
+            lastReadMillis = clock.getAsLong();
+        }
+        Option<EndpointPool> pool = work.primaryOnly() ? primaryPool() : readPool(work);
+        if (pool.isDefined()) {
+            pool.get().offer(work);
+        } else {
+            waitForPrimary(work);
+        }
+    }
+
+    @Override
+    public void provenPrimary(String endpointId, long askedMillis, LogPosition position) {
+        boolean newer = position.term() > samples.term();
+        if (position.term() >= samples.term()) {
+            samples.add(askedMillis, position);
+            if (newer || !primaryId.contains(endpointId)) {
+                takeForPrimary(endpointId, "proof");
+            }
+        }
+    }
+
+    @Override
+    public void notPrimary(String endpointId) {
+        if (primaryId.contains(endpointId)) {
+            LOG.info("event=primary_lost group={} endpoint={} cause=read_only term={}", name(), endpointId, term());
+            primaryId = Option.none();
+            Option.of(pools.get(endpointId))
+                    .forEach(pool -> primaryRevision =
+                            Math.max(primaryRevision, pool.endpoint().revision()));
+            listedPrimary().forEach(listed -> takeForPrimary(listed.id(), "listed"));
+            Option.of(pools.get(endpointId)).forEach(pool -> pool.drainWaiting().forEach(this::submit));
+        }
+    }
+
+    @Override
+    public void reachabilityChanged(String endpointId, boolean reachable) {
+        if (reachable && primaryId.contains(endpointId)) {
+            resubmitWaiting();
+        }
+    }
+
+    @Override
+    public boolean isPrimary(String endpointId) {
+        return primaryId.contains(endpointId);
+    }
+
+    @Override
+    public Option<LogPosition> floor(Work work) {
+        long staleness = Math.max(0, work.stalenessMillis() - STALENESS_MARGIN_MILLIS);
+        return samples.floor(clock.getAsLong(), staleness)
+                .map(floor -> floor.max(samples.translate(work.sessionFloor())));
+    }
+
+    @Override
+    public void requeue(Work work) {
+        submit(work);
+    }
+
+    void update(Group declared, int vmCount, Collection<Endpoint> listed) {
+        group = declared;
+        vms = vmCount;
+        PoolLimits limits = PoolLimits.of(group.maxConnections(), vms);
+        Map<String, Endpoint> byId = new HashMap<>();
+        listed.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
+        byId.values().forEach(endpoint -> pools.computeIfAbsent(
+                        endpoint.id(), id -> new EndpointPool(endpoint, limits, connector, this, clock))
+                .update(endpoint, limits));
+        for (String id : List.copyOf(pools.keySet())) {
+            if (!byId.containsKey(id)) {
+                removeEndpoint(id);
+            }
+        }
+        listedPrimary().forEach(endpoint -> takeForPrimary(endpoint.id(), "listed"));
+    }
+
+    void tick() {
+        long now = clock.getAsLong();
+        List.copyOf(pools.values()).forEach(EndpointPool::tick);
+        for (Work work : List.copyOf(leaderless)) {
+            if (now >= work.assignBeforeMillis()) {
+                leaderless.remove(work);
+                work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
+            }
+        }
+        boolean interest = now - lastReadMillis < READ_INTEREST_MILLIS;
+        boolean old = now - samples.latestAskedMillis().getOrElse(lastSampleMillis) > SAMPLE_INTERVAL_MILLIS;
+        if (interest && old && now - lastSampleMillis > SAMPLE_INTERVAL_MILLIS) {
+            lastSampleMillis = now;
+            primaryPool().forEach(EndpointPool::samplePrimary);
+        }
+    }
+
+    void closeIdle() {
+        pools.values().forEach(EndpointPool::closeIdle);
+    }
+
+    private void removeEndpoint(String id) {
+        EndpointPool pool = pools.remove(id);
+        LOG.info("event=endpoint_removed group={} endpoint={}", name(), id);
+        if (primaryId.contains(id)) {
+            primaryId = Option.none();
+        }
+        List<Work> waiting = pool.drainWaiting();
+        pool.closeIdle();
+        waiting.forEach(this::submit);
+    }
+
+    /** The entry that most recently claimed to be the primary, unless the claim is older than one disproved. */
+    private Option<Endpoint> listedPrimary() {
+        return Option.ofOptional(pools.values().stream()
+                .map(EndpointPool::endpoint)
+                .filter(endpoint -> endpoint.primary() && endpoint.revision() > primaryRevision)
+                .max(Comparator.comparingLong(Endpoint::revision)));
+    }
+
+    private void takeForPrimary(String endpointId, String cause) {
+        EndpointPool pool = pools.get(endpointId);
+        if (pool == null) {
+            return;
+        }
+        primaryRevision = Math.max(primaryRevision, pool.endpoint().revision());
+        if (!primaryId.contains(endpointId)) {
+            Option<EndpointPool> previous = primaryPool();
+            LOG.info(
+                    "event=primary_changed group={} from={} to={} cause={} term={}",
+                    name(),
+                    primaryId.getOrElse("none"),
+                    endpointId,
+                    cause,
+                    term());
+            primaryId = Option.some(endpointId);
+            previous.forEach(old -> old.drainWaiting().forEach(this::submit));
+        }
+        resubmitWaiting();
+    }
+
+    private void resubmitWaiting() {
+        List<Work> work = List.copyOf(leaderless);
+        leaderless.clear();
+        work.forEach(this::submit);
+    }
+
+    private Option<EndpointPool> primaryPool() {
+        return primaryId.flatMap(id -> Option.of(pools.get(id))).filter(EndpointPool::reachable);
+    }
+
+    private Option<EndpointPool> readPool(Work work) {
+        boolean sampled = floor(work).isDefined();
+        Option<EndpointPool> best = Option.ofOptional(readable(work)
+                .filter(pool -> sampled || isPrimary(pool.endpoint().id()))
+                .min(Comparator.comparingDouble(pool -> cost(pool, work))));
+        return best.orElse(this::primaryPool);
+    }
+
+    private Stream<EndpointPool> readable(Work work) {
+        boolean settled = pools.values().stream()
+                .anyMatch(pool -> pool.reachable() && !pool.endpoint().draining());
+        return pools.values().stream()
+                .filter(pool -> pool.reachable()
+                        && !work.excludes(pool.endpoint().id())
+                        && !(settled && pool.endpoint().draining()));
+    }
+
+    private double cost(EndpointPool pool, Work work) {
+        boolean remote = !pool.endpoint().dataCentre().equals(dataCentre);
+        boolean primary = isPrimary(pool.endpoint().id());
+        return pool.expectedMillis(work.account())
+                + (remote ? REMOTE_PENALTY_MILLIS : 0)
+                + (primary ? PRIMARY_PENALTY_MILLIS : 0);
+    }
+
+    private void waitForPrimary(Work work) {
+        if (clock.getAsLong() >= work.assignBeforeMillis()) {
+            work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
+        } else {
+            leaderless.add(work);
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointConnector.java
@@ -0,0 +1,18 @@
+package org.hyssopswitch.pool.endpoint;
+
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Endpoint;
+
+/** Opens connections to endpoints. */
+@FunctionalInterface
+public interface EndpointConnector {
+
+    /**
+     * Starts to open a connection; it fails unless the endpoint is the expected process of the expected group.
+     *
+     * @param endpoint the endpoint
+     * @param account the client account that the connection serves
+     * @param listener told, on the decision thread, what arrives
+     */
+    EndpointLink open(Endpoint endpoint, Account account, EndpointLink.Listener listener);
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -0,0 +1,357 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Reply;
+
+/**
+ * The connections of this VM to one endpoint and the work that waits for them.
+ *
+ * <p>A connection serves one client account. The VM may always hold its guaranteed share; beyond it, connections are
+ * opened while the endpoint accepts them and closed soon after their use, so that other VMs find room.
+ */
+final class EndpointPool {
+
+    /** Pause in opening after the endpoint refused a connection, milliseconds: a few statements' time. */
+    private static final long FULL_PAUSE_MILLIS = 40;
+
+    /** Pause in opening after a connection could not be opened, milliseconds. */
+    private static final long FAILED_PAUSE_MILLIS = 200;
+
+    /** Time for which an unused connection beyond the guaranteed share stays open, milliseconds. */
+    private static final long EXTRA_IDLE_MILLIS = 3_000;
+
+    /** Time for which the endpoint counts as short of connections after a refusal, milliseconds. */
+    private static final long SHORTAGE_MILLIS = 2_000;
+
+    /** Time for which an unused connection stays open, milliseconds; endpoints close idle ones after a minute. */
+    private static final long IDLE_MILLIS = 40_000;
+
+    /** Silence with an unanswered question after which an endpoint counts as unreachable, milliseconds. */
+    private static final long SILENCE_MILLIS = 700;
+
+    private static final double SMOOTHING = 0.1;
+    private static final double FIRST_SERVICE_MILLIS = 10;
+    private static final double FIRST_OPEN_MILLIS = 15;
+    private static final Logger LOG = LogManager.getLogger(EndpointPool.class);
+
+    private final EndpointConnector connector;
+    private final PoolEvents events;
+    private final LongSupplier clock;
+    private final List<PooledConnection> connections = new ArrayList<>();
+    private final List<Work> waiting = new ArrayList<>();
+    private Endpoint endpoint;
+    private PoolLimits limits;
+    private long openAfterMillis;
+    private long shortUntilMillis;
+    private long lastHeardMillis;
+    private boolean reachable = true;
+    private double serviceMillis = FIRST_SERVICE_MILLIS;
+    private double openMillis = FIRST_OPEN_MILLIS;
+    private boolean pumping;
+    private Account lastAccount = Account.ANONYMOUS;
+
+    EndpointPool(
+            Endpoint endpoint, PoolLimits limits, EndpointConnector connector, PoolEvents events, LongSupplier clock) {
+        this.endpoint = endpoint;
+        this.limits = limits;
+        this.connector = connector;
+        this.events = events;
+        this.clock = clock;
+        this.lastHeardMillis = clock.getAsLong();
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    PoolEvents events() {
+        return events;
+    }
+
+    long nowMillis() {
+        return clock.getAsLong();
+    }
+
+    boolean reachable() {
+        return reachable;
+    }
+
+    /** Takes a changed entry; connections to an earlier process are closed. */
+    void update(Endpoint changed, PoolLimits changedLimits) {
+        boolean same = endpoint.sameProcess(changed);
+        endpoint = changed;
+        limits = changedLimits;
+        if (!same) {
+            List.copyOf(connections).forEach(PooledConnection::discard);
+            markReachable();
+        }
+    }
+
+    /** Expected milliseconds until a new statement of an account would be answered. */
+    double expectedMillis(Account account) {
+        long usable =
+                connections.stream().filter(c -> c.account().equals(account)).count();
+        boolean idle =
+                connections.stream().anyMatch(c -> c.idle() && c.account().equals(account));
+        double opening = idle ? 0 : openMillis;
+        double queued = waiting.size() * serviceMillis / Math.max(1, Math.max(usable, connections.size()));
+        double busy = connections.stream().filter(c -> !c.idle()).count() * serviceMillis / 2;
+        return opening + queued + busy + serviceMillis + endpoint.coldMillis() / 100.0;
+    }
+
+    void offer(Work work) {
+        int at = waiting.size();
+        while (at > 0 && waiting.get(at - 1).priority() > work.priority()) {
+            at--;
+        }
+        waiting.add(at, work);
+        pump();
+    }
+
+    /** Takes back all work that waits. */
+    List<Work> drainWaiting() {
+        List<Work> result = List.copyOf(waiting);
+        waiting.clear();
+        return result;
+    }
+
+    void close() {
+        List.copyOf(connections).forEach(PooledConnection::discard);
+    }
+
+    /** Closes connections that are not lent. */
+    void closeIdle() {
+        connections.stream().filter(PooledConnection::idle).toList().forEach(PooledConnection::discard);
+    }
+
+    void tick() {
+        long now = nowMillis();
+        expire(now);
+        checkSilence(now);
+        closeUnused(now);
+        probe(now);
+        pump();
+    }
+
+    /** Asks whether the endpoint is the primary and for its position, over a connection that is not lent. */
+    void samplePrimary() {
+        Option<PooledConnection> idle = Option.ofOptional(
+                connections.stream().filter(PooledConnection::idle).findFirst());
+        if (idle.isEmpty()) {
+            if (connections.isEmpty() && nowMillis() >= openAfterMillis) {
+                open(lastAccount, nowMillis());
+            }
+            return;
+        }
+        PooledConnection connection = idle.get();
+        connection.lend();
+        connection.send(new EndpointCommand.Begin(false, Option.none()), new SampleReply(connection, nowMillis()));
+    }
+
+    /** Assigns connections to waiting work and opens what is missing. */
+    void pump() {
+        if (pumping) {
+            return;
+        }
+        pumping = true;
+        try {
+            assignIdle();
+            openMissing();
+        } finally {
+            pumping = false;
+        }
+    }
+
+    void remove(PooledConnection connection) {
+        connections.remove(connection);
+    }
+
+    void heard() {
+        lastHeardMillis = nowMillis();
+        markReachable();
+    }
+
+    void openedAfter(long millis) {
+        openMillis += SMOOTHING * (millis - openMillis);
+    }
+
+    void servedIn(long millis) {
+        serviceMillis += SMOOTHING * (millis - serviceMillis);
+    }
+
+    void openRefused(ErrorCode code) {
+        long now = nowMillis();
+        if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
+            openAfterMillis = now + FULL_PAUSE_MILLIS;
+            shortUntilMillis = now + SHORTAGE_MILLIS;
+        } else {
+            openAfterMillis = now + FAILED_PAUSE_MILLIS;
+            markUnreachable("refused_" + code);
+        }
+    }
+
+    void connectionFailed(boolean opening) {
+        if (opening) {
+            openAfterMillis = nowMillis() + FAILED_PAUSE_MILLIS;
+            markUnreachable("connect_failed");
+        }
+    }
+
+    private void assignIdle() {
+        for (int i = 0; i < waiting.size(); ) {
+            Work work = waiting.get(i);
+            Option<PooledConnection> idle = Option.ofOptional(connections.stream()
+                    .filter(c -> c.idle() && c.account().equals(work.account()))
+                    .max(Comparator.comparingLong(PooledConnection::sinceMillis)));
+            if (idle.isEmpty()) {
+                i++;
+                continue;
+            }
+            waiting.remove(i);
+            assign(work, idle.get());
+        }
+    }
+
+    private void assign(Work work, PooledConnection connection) {
+        Option<LogPosition> floor = work.primaryOnly() ? Option.none() : events.floor(work);
+        if (floor.isEmpty() && !events.isPrimary(endpoint.id())) {
+            events.requeue(work);
+            return;
+        }
+        connection.lend();
+        work.assigned(connection, floor);
+    }
+
+    private void openMissing() {
+        long now = nowMillis();
+        if (now < openAfterMillis) {
+            return;
+        }
+        Map<Account, Integer> missing = new HashMap<>();
+        for (Work work : List.copyOf(waiting)) {
+            missing.merge(work.account(), 1, Integer::sum);
+            long opening = connections.stream()
+                    .filter(c -> c.opening() && c.account().equals(work.account()))
+                    .count();
+            if (opening < missing.get(work.account()) && makeRoom(now)) {
+                open(work.account(), now);
+            }
+        }
+    }
+
+    private boolean makeRoom(long now) {
+        boolean full = connections.size() >= limits.endpointMax()
+                || (now < shortUntilMillis && connections.size() >= limits.guaranteed());
+        if (!full) {
+            return true;
+        }
+        Option<PooledConnection> oldest = Option.ofOptional(connections.stream()
+                .filter(PooledConnection::idle)
+                .min(Comparator.comparingLong(PooledConnection::sinceMillis)));
+        oldest.forEach(PooledConnection::discard);
+        return oldest.isDefined();
+    }
+
+    /** Finds out whether an unreachable endpoint has come back. */
+    private void probe(long now) {
+        boolean opening = connections.stream().anyMatch(PooledConnection::opening);
+        if (!reachable && !opening && now >= openAfterMillis) {
+            open(lastAccount, now);
+        }
+    }
+
+    private void open(Account account, long now) {
+        lastAccount = account;
+        PooledConnection connection = new PooledConnection(this, account, now);
+        connections.add(connection);
+        connection.start(connector.open(endpoint, account, connection));
+    }
+
+    private void expire(long now) {
+        for (Work work : List.copyOf(waiting)) {
+            if (now >= work.assignBeforeMillis()) {
+                waiting.remove(work);
+                work.refused(ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time");
+            }
+        }
+    }
+
+    private void checkSilence(long now) {
+        Option<Long> since = Option.ofOptional(connections.stream()
+                .flatMap(c -> c.waitingSinceMillis().toJavaStream())
+                .min(Comparator.naturalOrder()));
+        boolean silent = since.exists(from -> now - Math.max(from, lastHeardMillis) > SILENCE_MILLIS);
+        if (silent) {
+            markUnreachable("silent");
+            connections.stream()
+                    .filter(c -> c.opening() && now - c.sinceMillis() > SILENCE_MILLIS)
+                    .toList()
+                    .forEach(PooledConnection::discard);
+        }
+    }
+
+    private void closeUnused(long now) {
+        boolean shortage = now < shortUntilMillis;
+        for (PooledConnection connection : List.copyOf(connections)) {
+            boolean extra = connections.size() > limits.guaranteed();
+            long limit = extra ? (shortage ? FULL_PAUSE_MILLIS : EXTRA_IDLE_MILLIS) : IDLE_MILLIS;
+            if (connection.idle() && now - connection.sinceMillis() > limit) {
+                connection.discard();
+            }
+        }
+    }
+
+    private void markReachable() {
+        if (!reachable) {
+            reachable = true;
+            LOG.info("event=endpoint_reachable endpoint={} group={}", endpoint.id(), endpoint.group());
+            events.reachabilityChanged(endpoint.id(), true);
+        }
+    }
+
+    private void markUnreachable(String cause) {
+        if (reachable) {
+            reachable = false;
+            LOG.warn(
+                    "event=endpoint_unreachable endpoint={} group={} cause={} last_heard_age_ms={}",
+                    endpoint.id(),
+                    endpoint.group(),
+                    cause,
+                    nowMillis() - lastHeardMillis);
+            events.reachabilityChanged(endpoint.id(), false);
+            drainWaiting().forEach(events::requeue);
+        }
+    }
+
+    private record SampleReply(PooledConnection connection, long askedMillis) implements ReplyHandler {
+
+        @Override
+        public void replied(Reply reply) {
+            if (reply.succeeded()) {
+                reply.position().forEach(position -> connection.provenPrimary(askedMillis, position));
+                connection.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+            } else if (reply.error().contains(ErrorCode.READ_ONLY)) {
+                connection.notPrimary();
+            }
+            connection.release();
+        }
+
+        @Override
+        public void lost() {
+            // The pool counts the failure of the connection.
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
@@ -0,0 +1,76 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Endpoint;
+
+/** All database groups of the configuration in force. */
+public final class Groups {
+
+    private final String dataCentre;
+    private final EndpointConnector connector;
+    private final LongSupplier clock;
+    private final Map<String, DatabaseGroup> groups = new HashMap<>();
+
+    /**
+     * Creates an empty table.
+     *
+     * @param dataCentre data centre of this VM
+     * @param connector opens connections
+     * @param clock milliseconds of the monotonic clock
+     */
+    public Groups(String dataCentre, EndpointConnector connector, LongSupplier clock) {
+        this.dataCentre = dataCentre;
+        this.connector = connector;
+        this.clock = clock;
+    }
+
+    /**
+     * Takes a new configuration or list of endpoints.
+     *
+     * @param catalog the configuration in force
+     * @param endpoints the endpoints that may be used
+     * @param vms number of VMs that share the endpoints' connections
+     */
+    public void update(Catalog catalog, Collection<Endpoint> endpoints, int vms) {
+        catalog.groups().values().forEach(declared -> groups.computeIfAbsent(
+                        declared.name(), name -> new DatabaseGroup(declared, vms, dataCentre, connector, clock))
+                .update(declared, vms, members(endpoints, declared.name())));
+        for (String name : List.copyOf(groups.keySet())) {
+            if (!catalog.groups().containsKey(name)) {
+                DatabaseGroup removed = groups.remove(name);
+                removed.update(removed.declaration(), vms, List.of());
+            }
+        }
+    }
+
+    /**
+     * Finds a group.
+     *
+     * @param name its name
+     */
+    public Option<DatabaseGroup> find(String name) {
+        return Option.of(groups.get(name));
+    }
+
+    /** All groups. */
+    public Collection<DatabaseGroup> all() {
+        return List.copyOf(groups.values());
+    }
+
+    /** Ends what has waited too long and keeps connections in order; called every few milliseconds. */
+    public void tick() {
+        all().forEach(DatabaseGroup::tick);
+    }
+
+    private static List<Endpoint> members(Collection<Endpoint> endpoints, String group) {
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.group().equals(group))
+                .toList();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -0,0 +1,249 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.PreparedShape;
+import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.pool.statement.TransactionStatus;
+
+/** A connection to an endpoint for one client account, lent to one session at a time. */
+public final class PooledConnection implements EndpointLink.Listener {
+
+    private final EndpointPool pool;
+    private final Account account;
+    private final Deque<Pending> pending = new ArrayDeque<>();
+    private final Map<String, String> values = new TreeMap<>();
+    private final Set<PreparedShape> prepared = new HashSet<>();
+    private EndpointLink link;
+    private State state = State.OPENING;
+    private TransactionStatus status = TransactionStatus.IDLE;
+    private long sinceMillis;
+
+    PooledConnection(EndpointPool pool, Account account, long nowMillis) {
+        this.pool = pool;
+        this.account = account;
+        this.sinceMillis = nowMillis;
+    }
+
+    /** Identifier of the endpoint. */
+    public String endpointId() {
+        return pool.endpoint().id();
+    }
+
+    /**
+     * Gives the connection the values of a session and prepares what the next statement executes.
+     *
+     * @param wanted the session's values
+     * @param shape the prepared statement to execute next
+     */
+    public void adopt(Map<String, String> wanted, Option<PreparedShape> shape) {
+        List<EndpointCommand> commands = new ArrayList<>();
+        if (!wanted.keySet().containsAll(values.keySet())) {
+            commands.add(new EndpointCommand.Reset());
+            values.clear();
+            prepared.clear();
+        }
+        wanted.forEach((name, value) -> {
+            if (!value.equals(values.put(name, value))) {
+                commands.add(new EndpointCommand.SetValue(name, value));
+            }
+        });
+        shape.filter(prepared::add).forEach(added -> commands.add(new EndpointCommand.Prepare(added)));
+        commands.forEach(command -> send(command, new SetupReply()));
+    }
+
+    /**
+     * Sends a command.
+     *
+     * @param command the command
+     * @param handler takes its answer
+     */
+    public void send(EndpointCommand command, ReplyHandler handler) {
+        if (state == State.CLOSED) {
+            handler.lost();
+            return;
+        }
+        pending.addLast(new Pending(handler, pool.nowMillis()));
+        link.send(List.of(command));
+    }
+
+    /** Forgets which statements are prepared, after the endpoint said that it does not know one. */
+    public void forgetPrepared() {
+        prepared.clear();
+    }
+
+    /**
+     * Reports a log position that only a primary can have given.
+     *
+     * @param askedMillis when the question was sent, milliseconds of the monotonic clock
+     * @param position the position
+     */
+    public void provenPrimary(long askedMillis, LogPosition position) {
+        pool.events().provenPrimary(pool.endpoint().id(), askedMillis, position);
+    }
+
+    /** Reports that the endpoint refused what only a primary accepts. */
+    public void notPrimary() {
+        pool.events().notPrimary(pool.endpoint().id());
+    }
+
+    /** Returns the connection; it is lent again once all commands are answered. */
+    public void release() {
+        if (state == State.LENT) {
+            state = State.RETURNING;
+            settle();
+        }
+    }
+
+    /** Closes the connection, which rolls back what is open on it. */
+    public void discard() {
+        if (state != State.CLOSED) {
+            link.close();
+            end();
+        }
+    }
+
+    @Override
+    public void opened(Option<LogPosition> position) {
+        pool.heard();
+        if (state == State.OPENING) {
+            pool.openedAfter(pool.nowMillis() - sinceMillis);
+            state = State.IDLE;
+            sinceMillis = pool.nowMillis();
+            pool.pump();
+        }
+    }
+
+    @Override
+    public void refused(ErrorCode code) {
+        pool.heard();
+        if (state == State.OPENING) {
+            link.close();
+            end();
+            pool.openRefused(code);
+        }
+    }
+
+    @Override
+    public void replied(Reply reply) {
+        pool.heard();
+        Pending first = pending.pollFirst();
+        if (first == null) {
+            discard();
+            return;
+        }
+        status = reply.status();
+        first.handler().replied(reply);
+        settle();
+    }
+
+    @Override
+    public void closed() {
+        if (state == State.CLOSED) {
+            return;
+        }
+        boolean opening = state == State.OPENING;
+        boolean working = !pending.isEmpty();
+        end();
+        if (opening || working) {
+            pool.connectionFailed(opening);
+        }
+    }
+
+    void start(EndpointLink opened) {
+        link = opened;
+    }
+
+    Account account() {
+        return account;
+    }
+
+    boolean idle() {
+        return state == State.IDLE;
+    }
+
+    boolean opening() {
+        return state == State.OPENING;
+    }
+
+    long sinceMillis() {
+        return sinceMillis;
+    }
+
+    /** Time since when the oldest unanswered command or the opening waits; nothing when none does. */
+    Option<Long> waitingSinceMillis() {
+        if (state == State.OPENING) {
+            return Option.some(sinceMillis);
+        }
+        return Option.of(pending.peekFirst()).map(Pending::sentMillis);
+    }
+
+    void lend() {
+        state = State.LENT;
+        sinceMillis = pool.nowMillis();
+    }
+
+    private void settle() {
+        if (state != State.RETURNING || !pending.isEmpty()) {
+            return;
+        }
+        if (status != TransactionStatus.IDLE) {
+            discard();
+            return;
+        }
+        state = State.IDLE;
+        sinceMillis = pool.nowMillis();
+        pool.pump();
+    }
+
+    private void end() {
+        state = State.CLOSED;
+        pool.remove(this);
+        List<Pending> lost = List.copyOf(pending);
+        pending.clear();
+        lost.forEach(one -> one.handler().lost());
+    }
+
+    private enum State {
+        OPENING,
+        IDLE,
+        LENT,
+        RETURNING,
+        CLOSED
+    }
+
+    private record Pending(ReplyHandler handler, long sentMillis) {
+
+        Pending {
+            Objects.requireNonNull(handler, "a command must have a handler");
+        }
+    }
+
+    /** A connection whose values or prepared statements are uncertain must not be used again. */
+    private final class SetupReply implements ReplyHandler {
+
+        @Override
+        public void replied(Reply reply) {
+            if (!reply.succeeded()) {
+                discard();
+            }
+        }
+
+        @Override
+        public void lost() {
+            // The handler of the statement that follows reports the loss.
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -0,0 +1,330 @@
+package org.hyssopswitch.pool.session;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Outcome;
+import org.hyssopswitch.pool.statement.PreparedShape;
+import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.pool.statement.Statement;
+import org.hyssopswitch.pool.statement.TransactionStatus;
+
+/** The session of one caller: answers its statements one at a time, in order. */
+public final class CallerSession {
+
+    /** Statements that a caller may send ahead of their answers. */
+    private static final int MAX_PIPELINED = 64;
+
+    private final Sessions sessions;
+    private final CallerLink link;
+    private final Map<String, String> values = new TreeMap<>();
+    private final Map<String, PreparedShape> prepared = new HashMap<>();
+    private final Deque<Request> pipeline = new ArrayDeque<>();
+    private String database = "";
+    private String key = "";
+    private boolean open;
+    private boolean closed;
+    private boolean busy;
+    private long requestSinceMillis;
+    private Option<Request> request = Option.none();
+    private Option<SingleStatement> single = Option.none();
+    private Option<Transaction> transaction = Option.none();
+    private LogPosition floor = LogPosition.ZERO;
+
+    CallerSession(Sessions sessions, CallerLink link) {
+        this.sessions = sessions;
+        this.link = link;
+    }
+
+    /**
+     * Opens the session.
+     *
+     * @param requestedDatabase the database name
+     * @param presentedKey the caller's key; empty when it gives none
+     */
+    public void start(String requestedDatabase, String presentedKey) {
+        database = requestedDatabase;
+        key = presentedKey;
+        Either<ErrorCode, Authorization> authorization = authorize();
+        if (open || authorization.isLeft()) {
+            ErrorCode code = open ? ErrorCode.MALFORMED : authorization.getLeft();
+            sessions.log().sessionRefused(database, code, sessions.catalog().version());
+            closed = true;
+            link.refuse(
+                    code,
+                    "the session is refused under configuration "
+                            + sessions.catalog().version());
+            sessions.remove(this);
+            return;
+        }
+        open = true;
+        link.greet();
+    }
+
+    /**
+     * Takes a statement.
+     *
+     * @param id the caller's identifier of it
+     * @param statement the statement
+     */
+    public void query(String id, Statement statement) {
+        if (closed) {
+            return;
+        }
+        if (!open || pipeline.size() >= MAX_PIPELINED) {
+            close();
+            return;
+        }
+        pipeline.addLast(new Request(id, statement));
+        next();
+    }
+
+    /** The caller ended the session or its connection broke. */
+    public void disconnected() {
+        if (!closed) {
+            closed = true;
+            single.forEach(SingleStatement::abandon);
+            transaction.forEach(Transaction::abandon);
+            sessions.remove(this);
+        }
+    }
+
+    /** Closes the connection. */
+    void close() {
+        link.close();
+        disconnected();
+    }
+
+    /** Whether the caller waits for nothing and is outside a transaction. */
+    boolean idle() {
+        return !busy && transaction.isEmpty();
+    }
+
+    /** Ends an open transaction whose caller is between two statements. */
+    void abortIdleTransaction(String cause) {
+        if (!busy) {
+            transaction.forEach(open -> open.abort(cause));
+        }
+    }
+
+    void tick(long nowMillis) {
+        single.forEach(statement -> statement.tick(nowMillis));
+        transaction.forEach(open -> open.tick(nowMillis));
+    }
+
+    long nowMillis() {
+        return sessions.nowMillis();
+    }
+
+    LogPosition floor() {
+        return floor;
+    }
+
+    Map<String, String> values() {
+        return values;
+    }
+
+    long transactionIdleMillis() {
+        return sessions.catalog().transactionIdleMillis();
+    }
+
+    long hedgeAfterMillis(Route route) {
+        return sessions.hedgeAfterMillis(route);
+    }
+
+    void raiseFloor(LogPosition position) {
+        floor = floor.max(position);
+    }
+
+    void submit(Operation operation) {
+        sessions.submit(operation);
+    }
+
+    void transactionOver() {
+        transaction = Option.none();
+    }
+
+    /** Passes an endpoint's answer on. */
+    void finished(Reply reply) {
+        send(new Reply(reply.rows(), reply.outcome(), status(), reply.position()));
+    }
+
+    /** Answers the current statement. */
+    void finished(Outcome outcome, Option<LogPosition> position) {
+        send(new Reply(List.of(), outcome, status(), position));
+    }
+
+    private void send(Reply reply) {
+        single = Option.none();
+        busy = false;
+        request.forEach(
+                ended -> sessions.log().answered(database, ended.id(), reply, nowMillis() - requestSinceMillis));
+        request = Option.none();
+        if (!closed) {
+            link.reply(reply);
+            next();
+        }
+    }
+
+    private TransactionStatus status() {
+        return transaction
+                .map(open -> open.failed() ? TransactionStatus.FAILED : TransactionStatus.OPEN)
+                .getOrElse(TransactionStatus.IDLE);
+    }
+
+    private void next() {
+        if (busy || closed || pipeline.isEmpty()) {
+            return;
+        }
+        Request following = pipeline.removeFirst();
+        busy = true;
+        requestSinceMillis = nowMillis();
+        request = Option.some(following);
+        run(following);
+    }
+
+    private void run(Request following) {
+        Statement statement = following.statement();
+        if (transaction.exists(Transaction::failed) && !endsTransaction(statement)) {
+            Option<String> cause = transaction.get().takeAbortCause();
+            fail(
+                    cause.isDefined() ? ErrorCode.ABORTED : ErrorCode.MALFORMED,
+                    cause.getOrElse("the transaction failed"));
+        } else if (statement instanceof Statement.Begin begin) {
+            begin(begin);
+        } else if (statement instanceof Statement.Commit commit) {
+            commit(following.id(), commit);
+        } else if (statement instanceof Statement.Rollback) {
+            transaction.filter(running -> !running.failed()).forEach(Transaction::rollback);
+            transaction = Option.none();
+            succeed();
+        } else if (statement instanceof Statement.SetValue set) {
+            values.put(set.name(), set.value());
+            succeed();
+        } else if (statement instanceof Statement.Prepare prepare) {
+            prepared.put(prepare.name(), prepare.shape());
+            succeed();
+        } else if (statement instanceof Statement.Deallocate deallocate) {
+            prepared.remove(deallocate.name());
+            succeed();
+        } else if (statement instanceof Statement.Malformed malformed) {
+            fail(ErrorCode.MALFORMED, malformed.reason());
+        } else {
+            executable(following.id(), statement)
+                    .peek(this::execute)
+                    .peekLeft(reason -> fail(ErrorCode.STATEMENT_UNKNOWN, reason));
+        }
+    }
+
+    private static boolean endsTransaction(Statement statement) {
+        return statement instanceof Statement.Commit || statement instanceof Statement.Rollback;
+    }
+
+    private Either<String, Executable> executable(String id, Statement statement) {
+        if (statement instanceof Statement.Read read) {
+            return Either.right(new Executable(id, read.text(), Option.none(), false));
+        }
+        if (statement instanceof Statement.Write write) {
+            return Either.right(new Executable(id, write.text(), Option.none(), true));
+        }
+        Statement.Execute execute = (Statement.Execute) statement;
+        return Option.of(prepared.get(execute.name()))
+                .map(shape -> new Executable(id, execute.arguments(), Option.some(shape), shape.write()))
+                .toEither("no statement is prepared under this name");
+    }
+
+    private void begin(Statement.Begin begin) {
+        if (transaction.isDefined()) {
+            fail(ErrorCode.MALFORMED, "a transaction is open");
+            return;
+        }
+        admit().peek(authorization -> {
+            transaction = Option.some(new Transaction(this, authorization, begin.readOnly()));
+            succeed();
+        });
+    }
+
+    private void commit(String id, Statement.Commit commit) {
+        if (transaction.isEmpty()) {
+            fail(ErrorCode.MALFORMED, "no transaction is open");
+        } else if (transaction.get().failed()) {
+            transaction = Option.none();
+            fail(ErrorCode.ABORTED, "the transaction was rolled back");
+        } else if (keyHolds()) {
+            transaction.get().commit(new Executable(id, commit.text(), Option.none(), false));
+        }
+    }
+
+    private void execute(Executable statement) {
+        if (transaction.isDefined()) {
+            if (keyHolds()) {
+                transaction.get().execute(statement);
+            }
+            return;
+        }
+        admit().peek(authorization -> {
+            single = Option.some(new SingleStatement(this, authorization, statement));
+            single.get().submit();
+        });
+    }
+
+    /** Ends the open transaction when the caller's key has been withdrawn. */
+    private boolean keyHolds() {
+        Catalog catalog = sessions.catalog();
+        boolean holds = catalog.account(key).isDefined()
+                || catalog.route(database).exists(Route::open)
+                || transaction.exists(open -> open.route().open());
+        if (!holds) {
+            transaction.get().rollback();
+            fail(ErrorCode.KEY_UNKNOWN, "the key has been withdrawn");
+        }
+        return holds;
+    }
+
+    /** Checks route, key and rate for a new operation; answers the statement when it is refused. */
+    private Option<Authorization> admit() {
+        Either<ErrorCode, Authorization> authorization = authorize();
+        if (authorization.isLeft()) {
+            fail(
+                    authorization.getLeft(),
+                    "refused under configuration " + sessions.catalog().version());
+            return Option.none();
+        }
+        Option<Long> wait = sessions.limiter().admit(authorization.get().account());
+        wait.forEach(millis ->
+                fail(ErrorCode.OVERLOADED, "the client account is beyond its rate; retry_after_ms=" + millis));
+        return wait.isDefined() ? Option.none() : authorization.toOption();
+    }
+
+    private Either<ErrorCode, Authorization> authorize() {
+        Catalog catalog = sessions.catalog();
+        Option<Route> route = catalog.route(database);
+        if (route.isEmpty()) {
+            return Either.left(ErrorCode.DATABASE_UNKNOWN);
+        }
+        return catalog.account(key)
+                .orElse(() -> route.filter(Route::open).map(open -> Account.ANONYMOUS))
+                .map(account -> new Authorization(route.get(), account))
+                .toEither(ErrorCode.KEY_UNKNOWN);
+    }
+
+    private void succeed() {
+        finished(Outcome.Success.LOCAL, Option.none());
+    }
+
+    private void fail(ErrorCode code, String reason) {
+        finished(new Outcome.Failed(code, reason), Option.none());
+    }
+
+    private record Request(String id, Statement statement) {}
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Operation.java
@@ -0,0 +1,86 @@
+package org.hyssopswitch.pool.session;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.endpoint.Work;
+
+/** What a single statement and a transaction have in common while they wait for an endpoint. */
+abstract class Operation implements Work {
+
+    private final Set<String> excluded = new HashSet<>();
+    private final CallerSession session;
+    private final Route route;
+    private final Account account;
+    private final boolean primaryOnly;
+    private long assignBeforeMillis;
+
+    Operation(CallerSession session, Authorization authorization, boolean primaryOnly) {
+        this.session = session;
+        this.route = authorization.route();
+        this.account = authorization.account();
+        this.primaryOnly = primaryOnly || !route.replicaReads();
+    }
+
+    @Override
+    public final Account account() {
+        return account;
+    }
+
+    @Override
+    public final int priority() {
+        return route.priority();
+    }
+
+    @Override
+    public final boolean primaryOnly() {
+        return primaryOnly;
+    }
+
+    @Override
+    public final long stalenessMillis() {
+        return route.stalenessMillis();
+    }
+
+    @Override
+    public final LogPosition sessionFloor() {
+        return session.floor();
+    }
+
+    @Override
+    public final long assignBeforeMillis() {
+        return assignBeforeMillis;
+    }
+
+    @Override
+    public final boolean excludes(String endpointId) {
+        return excluded.contains(endpointId);
+    }
+
+    final CallerSession session() {
+        return session;
+    }
+
+    final Route route() {
+        return route;
+    }
+
+    final void exclude(String endpointId) {
+        excluded.add(endpointId);
+    }
+
+    /** Queues the operation for an endpoint; it is refused when none is assigned within its latency objective. */
+    final void submit() {
+        long limit = Math.min(route.timeoutMillis(), route.objectiveMillis());
+        assignBeforeMillis = session.nowMillis() + limit;
+        session.submit(this);
+    }
+
+    /** Ends what has run too long; called every few milliseconds. */
+    abstract void tick(long nowMillis);
+
+    /** The caller is gone. */
+    abstract void abandon();
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestLog.java
@@ -0,0 +1,67 @@
+package org.hyssopswitch.pool.session;
+
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Outcome;
+import org.hyssopswitch.pool.statement.Reply;
+
+/** Writes one line for each request that fails, up to a number of lines a second. */
+public final class RequestLog {
+
+    /** Lines a second; what lies beyond is counted and reported by the next line. */
+    private static final int MAX_LINES_PER_SECOND = 50;
+
+    private static final long SECOND_MILLIS = 1_000;
+    private static final Logger LOG = LogManager.getLogger(RequestLog.class);
+
+    private final LongSupplier clock;
+    private long secondStartMillis;
+    private int lines;
+    private long suppressed;
+
+    /**
+     * Creates a log.
+     *
+     * @param clock milliseconds of the monotonic clock
+     */
+    public RequestLog(LongSupplier clock) {
+        this.clock = clock;
+        this.secondStartMillis = clock.getAsLong();
+    }
+
+    void sessionRefused(String database, ErrorCode code, long version) {
+        if (permitted()) {
+            LOG.info("event=session_refused database={} code={} configuration={}", database, code, version);
+        }
+    }
+
+    void answered(String database, String id, Reply reply, long tookMillis) {
+        if (reply.outcome() instanceof Outcome.Failed failed && permitted()) {
+            LOG.info(
+                    "event=request_failed request={} database={} code={} took_ms={} suppressed={} cause=\"{}\"",
+                    id,
+                    database,
+                    failed.code(),
+                    tookMillis,
+                    suppressed,
+                    failed.text());
+            suppressed = 0;
+        }
+    }
+
+    private boolean permitted() {
+        long now = clock.getAsLong();
+        if (now - secondStartMillis >= SECOND_MILLIS) {
+            secondStartMillis = now;
+            lines = 0;
+        }
+        boolean permitted = lines < MAX_LINES_PER_SECOND;
+        lines++;
+        if (!permitted) {
+            suppressed++;
+        }
+        return permitted;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -0,0 +1,119 @@
+package org.hyssopswitch.pool.session;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.quota.AccountLimiter;
+import org.hyssopswitch.pool.statement.ErrorCode;
+
+/** The sessions of this VM. */
+public final class Sessions {
+
+    /** Time without an answer after which a read is also sent to another endpoint, as a part of its objective. */
+    private static final double HEDGE_PART_OF_OBJECTIVE = 0.5;
+
+    private final Groups groups;
+    private final AccountLimiter limiter;
+    private final RequestLog log;
+    private final LongSupplier clock;
+    private final Set<CallerSession> open = new LinkedHashSet<>();
+    private Catalog catalog = Catalog.EMPTY;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param groups the database groups
+     * @param limiter limits of client accounts
+     * @param log log lines of requests
+     * @param clock milliseconds of the monotonic clock
+     */
+    public Sessions(Groups groups, AccountLimiter limiter, RequestLog log, LongSupplier clock) {
+        this.groups = groups;
+        this.limiter = limiter;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /**
+     * Takes the session of a new connection.
+     *
+     * @param link the connection
+     */
+    public CallerSession accept(CallerLink link) {
+        CallerSession session = new CallerSession(this, link);
+        open.add(session);
+        return session;
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param next the configuration
+     */
+    public void configure(Catalog next) {
+        catalog = next;
+    }
+
+    /** Number of open sessions. */
+    public int size() {
+        return open.size();
+    }
+
+    /** Ends what has run too long; called every few milliseconds. */
+    public void tick() {
+        long now = nowMillis();
+        List.copyOf(open).forEach(session -> session.tick(now));
+    }
+
+    /**
+     * Closes sessions whose callers wait for nothing and have no transaction open.
+     *
+     * @param limit the greatest number to close
+     */
+    public void closeIdle(int limit) {
+        List.copyOf(open).stream().filter(CallerSession::idle).limit(limit).forEach(CallerSession::close);
+    }
+
+    /**
+     * Ends transactions whose callers are between two statements.
+     *
+     * @param cause why, for the callers
+     */
+    public void abortIdleTransactions(String cause) {
+        List.copyOf(open).forEach(session -> session.abortIdleTransaction(cause));
+    }
+
+    Catalog catalog() {
+        return catalog;
+    }
+
+    AccountLimiter limiter() {
+        return limiter;
+    }
+
+    RequestLog log() {
+        return log;
+    }
+
+    long nowMillis() {
+        return clock.getAsLong();
+    }
+
+    long hedgeAfterMillis(Route route) {
+        return Math.round(route.objectiveMillis() * HEDGE_PART_OF_OBJECTIVE);
+    }
+
+    void submit(Operation operation) {
+        groups.find(operation.route().group())
+                .peek(group -> group.submit(operation))
+                .onEmpty(() -> operation.refused(ErrorCode.OVERLOADED, "the group is not configured"));
+    }
+
+    void remove(CallerSession session) {
+        open.remove(session);
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/SingleStatement.java
@@ -0,0 +1,213 @@
+package org.hyssopswitch.pool.session;
+
+import io.vavr.control.Option;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.endpoint.PooledConnection;
+import org.hyssopswitch.pool.endpoint.ReplyHandler;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Outcome;
+import org.hyssopswitch.pool.statement.Reply;
+
+/**
+ * A statement outside a transaction.
+ *
+ * <p>Reads are repeated at other endpoints until one answers; a write is repeated only when the endpoint said that it
+ * did not run. A read that must see every commit runs inside a transaction of the VM's own, because only the start of a
+ * transaction proves that the endpoint is still the primary.
+ */
+final class SingleStatement extends Operation {
+
+    /** Attempts per statement: one per endpoint of a group of three, and a last one at the primary. */
+    private static final int MAX_ATTEMPTS = 4;
+
+    private final Executable statement;
+    private final long startedMillis;
+    private Option<PooledConnection> running = Option.none();
+    private long runningSinceMillis;
+    private int attempts;
+    private boolean hedged;
+    private boolean done;
+
+    SingleStatement(CallerSession session, Authorization authorization, Executable statement) {
+        super(session, authorization, statement.write());
+        this.statement = statement;
+        this.startedMillis = session.nowMillis();
+    }
+
+    @Override
+    public void assigned(PooledConnection connection, Option<LogPosition> floor) {
+        if (done) {
+            connection.release();
+            return;
+        }
+        attempts++;
+        running = Option.some(connection);
+        runningSinceMillis = session().nowMillis();
+        connection.adopt(session().values(), statement.shape());
+        if (statement.write() || floor.isDefined()) {
+            connection.send(statement.command(floor), new Answer(connection, false));
+        } else {
+            connection.send(new EndpointCommand.Begin(false, Option.none()), new ProofAnswer(connection));
+        }
+    }
+
+    @Override
+    public void refused(ErrorCode code, String reason) {
+        if (running.isEmpty()) {
+            fail(code, reason);
+        }
+    }
+
+    @Override
+    void tick(long nowMillis) {
+        if (done) {
+            return;
+        }
+        if (nowMillis - startedMillis >= route().timeoutMillis()) {
+            running.forEach(PooledConnection::discard);
+            if (!done) {
+                boolean sentWrite = statement.write() && running.isDefined();
+                fail(sentWrite ? ErrorCode.TIMEOUT : ErrorCode.OVERLOADED, "no answer within the route's timeout");
+            }
+        } else if (running.isDefined() && !statement.write() && !hedged) {
+            hedge(nowMillis);
+        }
+    }
+
+    @Override
+    void abandon() {
+        done = true;
+    }
+
+    /** Asks another endpoint while the first one may still answer. */
+    private void hedge(long nowMillis) {
+        if (!primaryOnly() && nowMillis - runningSinceMillis > session().hedgeAfterMillis(route())) {
+            hedged = true;
+            exclude(running.get().endpointId());
+            submit();
+        }
+    }
+
+    private void retryOrFail(ErrorCode code, String reason) {
+        boolean late = session().nowMillis() - startedMillis >= route().timeoutMillis();
+        if (done) {
+            return;
+        }
+        running = Option.none();
+        if (late || attempts >= MAX_ATTEMPTS) {
+            fail(code, reason);
+        } else {
+            submit();
+        }
+    }
+
+    private void fail(ErrorCode code, String reason) {
+        if (!done) {
+            done = true;
+            session().finished(new Outcome.Failed(code, reason), Option.none());
+        }
+    }
+
+    private void succeed(Reply reply) {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (statement.write()) {
+            reply.position().forEach(session()::raiseFloor);
+        }
+        session().finished(reply);
+    }
+
+    /** Decides on an error that an endpoint reported. */
+    private void failed(PooledConnection connection, ErrorCode code, String text) {
+        switch (code) {
+            case READ_ONLY -> {
+                connection.notPrimary();
+                retryOrFail(ErrorCode.OVERLOADED, "the endpoint is no longer the primary");
+            }
+            case STATEMENT_UNKNOWN -> {
+                connection.forgetPrepared();
+                retryOrFail(ErrorCode.OVERLOADED, "the endpoint lost the prepared statement");
+            }
+            case OVERLOADED, LAGGING -> {
+                exclude(connection.endpointId());
+                retryOrFail(ErrorCode.OVERLOADED, "endpoint " + connection.endpointId() + " reported " + code);
+            }
+            default -> {
+                if (statement.write()) {
+                    fail(code, text);
+                } else {
+                    exclude(connection.endpointId());
+                    retryOrFail(code, text);
+                }
+            }
+        }
+    }
+
+    /** The answer to the statement itself. */
+    private final class Answer implements ReplyHandler {
+
+        private final PooledConnection connection;
+        private final boolean proven;
+
+        Answer(PooledConnection connection, boolean proven) {
+            this.connection = connection;
+            this.proven = proven;
+        }
+
+        @Override
+        public void replied(Reply reply) {
+            if (proven) {
+                connection.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+            }
+            if (reply.succeeded() && statement.write()) {
+                reply.position().forEach(position -> connection.provenPrimary(runningSinceMillis, position));
+            }
+            if (reply.outcome() instanceof Outcome.Failed error) {
+                failed(connection, error.code(), error.text());
+            } else {
+                succeed(reply);
+            }
+            connection.release();
+        }
+
+        @Override
+        public void lost() {
+            if (statement.write()) {
+                fail(ErrorCode.IN_DOUBT, "the connection to the endpoint broke after the statement was sent");
+            } else {
+                exclude(connection.endpointId());
+                retryOrFail(ErrorCode.OVERLOADED, "the connection to the endpoint broke");
+            }
+        }
+    }
+
+    /** The answer to the start of the VM's own transaction around a read. */
+    private final class ProofAnswer implements ReplyHandler {
+
+        private final PooledConnection connection;
+        private final long askedMillis = session().nowMillis();
+
+        ProofAnswer(PooledConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void replied(Reply reply) {
+            if (reply.outcome() instanceof Outcome.Failed error) {
+                connection.release();
+                failed(connection, error.code(), error.text());
+                return;
+            }
+            reply.position().forEach(position -> connection.provenPrimary(askedMillis, position));
+            connection.send(statement.command(Option.none()), new Answer(connection, true));
+        }
+
+        @Override
+        public void lost() {
+            retryOrFail(ErrorCode.OVERLOADED, "the connection to the endpoint broke");
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Transaction.java
@@ -0,0 +1,282 @@
+package org.hyssopswitch.pool.session;
+
+import io.vavr.control.Option;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.endpoint.PooledConnection;
+import org.hyssopswitch.pool.endpoint.ReplyHandler;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Outcome;
+import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.pool.statement.TransactionStatus;
+
+/**
+ * A transaction of a caller. It takes a connection with its first statement and keeps it until its end.
+ *
+ * <p>Until the first statement has succeeded, the transaction may move to another endpoint; afterwards the loss of its
+ * connection ends it.
+ */
+final class Transaction extends Operation {
+
+    /** Attempts to start: one per endpoint of a group of three, and a last one at the primary. */
+    private static final int MAX_ATTEMPTS = 4;
+
+    private Option<PooledConnection> connection = Option.none();
+    private Option<Executable> current = Option.none();
+    private boolean committing;
+    private boolean settled;
+    private boolean wrote;
+    private boolean ended;
+    private Option<String> abortCause = Option.none();
+    private int attempts;
+    private long statementSinceMillis;
+    private long idleSinceMillis;
+
+    Transaction(CallerSession session, Authorization authorization, boolean readOnly) {
+        super(session, authorization, !readOnly);
+        this.idleSinceMillis = session.nowMillis();
+    }
+
+    /** Whether the transaction can only be ended. */
+    boolean failed() {
+        return ended;
+    }
+
+    /** Why the VM ended the transaction while the caller was silent; told once. */
+    Option<String> takeAbortCause() {
+        Option<String> cause = abortCause;
+        abortCause = Option.none();
+        return cause;
+    }
+
+    void execute(Executable statement) {
+        current = Option.some(statement);
+        statementSinceMillis = session().nowMillis();
+        if (connection.isDefined()) {
+            connection.get().adopt(session().values(), statement.shape());
+            connection.get().send(statement.command(Option.none()), new StatementAnswer(connection.get()));
+        } else {
+            submit();
+        }
+    }
+
+    void commit(Executable statement) {
+        committing = true;
+        execute(statement);
+    }
+
+    /** Rolls back without waiting for the endpoint. */
+    void rollback() {
+        ended = true;
+        connection.forEach(open -> {
+            open.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+            open.release();
+        });
+        connection = Option.none();
+    }
+
+    @Override
+    public void assigned(PooledConnection assigned, Option<LogPosition> floor) {
+        if (ended) {
+            assigned.release();
+            return;
+        }
+        attempts++;
+        connection = Option.some(assigned);
+        assigned.adopt(session().values(), current.get().shape());
+        boolean proof = floor.isEmpty();
+        assigned.send(new EndpointCommand.Begin(!proof, floor), new BeginAnswer(assigned, proof));
+    }
+
+    @Override
+    public void refused(ErrorCode code, String reason) {
+        if (!ended) {
+            end(ErrorCode.ABORTED, reason);
+        }
+    }
+
+    @Override
+    void tick(long nowMillis) {
+        if (ended) {
+            return;
+        }
+        if (current.isDefined() && nowMillis - statementSinceMillis >= route().timeoutMillis()) {
+            boolean unknown = committing && connection.isDefined() && wrote;
+            end(unknown ? ErrorCode.TIMEOUT : ErrorCode.ABORTED, "no answer within the route's timeout");
+        } else if (current.isEmpty()
+                && connection.isDefined()
+                && nowMillis - idleSinceMillis >= session().transactionIdleMillis()) {
+            abort("the transaction was idle for too long");
+        }
+    }
+
+    /** Ends the transaction between two statements; the caller learns of it with its next statement. */
+    void abort(String cause) {
+        if (!ended) {
+            rollback();
+            abortCause = Option.some(cause);
+        }
+    }
+
+    @Override
+    void abandon() {
+        if (!ended) {
+            rollback();
+        }
+    }
+
+    /** Ends the transaction and answers the current statement. */
+    private void end(ErrorCode code, String reason) {
+        boolean commit = committing;
+        ended = true;
+        current = Option.none();
+        connection.forEach(PooledConnection::discard);
+        connection = Option.none();
+        if (commit) {
+            session().transactionOver();
+        }
+        session().finished(new Outcome.Failed(code, reason), Option.none());
+    }
+
+    private void startAgain(ErrorCode code, String reason) {
+        connection = Option.none();
+        boolean late = session().nowMillis() - statementSinceMillis >= route().timeoutMillis();
+        if (late || attempts >= MAX_ATTEMPTS) {
+            end(ErrorCode.ABORTED, reason + " (" + code + ")");
+        } else {
+            submit();
+        }
+    }
+
+    private void completed(Reply reply) {
+        current = Option.none();
+        idleSinceMillis = session().nowMillis();
+        settled = true;
+        if (committing) {
+            committed(reply);
+        }
+        session().finished(reply);
+    }
+
+    private void committed(Reply reply) {
+        ended = true;
+        if (wrote) {
+            reply.position().forEach(session()::raiseFloor);
+        }
+        connection.forEach(PooledConnection::release);
+        connection = Option.none();
+        session().transactionOver();
+    }
+
+    /** Decides on an error that the endpoint reported for a statement. */
+    private void statementFailed(PooledConnection on, Outcome.Failed error) {
+        boolean movable = !settled && current.exists(statement -> !statement.write() || nothingRan(error.code()));
+        if (error.code() == ErrorCode.READ_ONLY && primaryOnly()) {
+            on.notPrimary();
+        }
+        if (error.code() == ErrorCode.STATEMENT_UNKNOWN) {
+            on.forgetPrepared();
+        }
+        if (movable && nothingRan(error.code())) {
+            on.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+            on.release();
+            exclude(on.endpointId());
+            startAgain(error.code(), error.text());
+            return;
+        }
+        endAtEndpoint(on, error);
+    }
+
+    private void endAtEndpoint(PooledConnection on, Outcome.Failed error) {
+        ended = true;
+        current = Option.none();
+        connection = Option.none();
+        if (committing) {
+            session().transactionOver();
+        }
+        on.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+        on.release();
+        session().finished(error, Option.none());
+    }
+
+    private static boolean nothingRan(ErrorCode code) {
+        return switch (code) {
+            case OVERLOADED, LAGGING, READ_ONLY, STATEMENT_UNKNOWN -> true;
+            default -> false;
+        };
+    }
+
+    /** The answer to the start of the transaction at the endpoint. */
+    private final class BeginAnswer implements ReplyHandler {
+
+        private final PooledConnection on;
+        private final boolean proof;
+        private final long askedMillis = session().nowMillis();
+
+        BeginAnswer(PooledConnection on, boolean proof) {
+            this.on = on;
+            this.proof = proof;
+        }
+
+        @Override
+        public void replied(Reply reply) {
+            if (ended) {
+                return;
+            }
+            if (reply.outcome() instanceof Outcome.Failed error) {
+                if (proof && error.code() == ErrorCode.READ_ONLY) {
+                    on.notPrimary();
+                } else {
+                    exclude(on.endpointId());
+                }
+                on.release();
+                startAgain(error.code(), error.text());
+                return;
+            }
+            if (proof) {
+                reply.position().forEach(position -> on.provenPrimary(askedMillis, position));
+            }
+            on.send(current.get().command(Option.none()), new StatementAnswer(on));
+        }
+
+        @Override
+        public void lost() {
+            if (!ended) {
+                startAgain(ErrorCode.ABORTED, "the connection to the endpoint broke");
+            }
+        }
+    }
+
+    /** The answer to a statement of the caller. */
+    private final class StatementAnswer implements ReplyHandler {
+
+        private final PooledConnection on;
+
+        StatementAnswer(PooledConnection on) {
+            this.on = on;
+            wrote |= current.exists(Executable::write);
+        }
+
+        @Override
+        public void replied(Reply reply) {
+            if (ended) {
+                return;
+            }
+            if (reply.outcome() instanceof Outcome.Failed error) {
+                statementFailed(on, error);
+            } else if (!committing && reply.status() != TransactionStatus.OPEN) {
+                end(ErrorCode.ABORTED, "the endpoint ended the transaction");
+            } else {
+                completed(reply);
+            }
+        }
+
+        @Override
+        public void lost() {
+            if (!ended) {
+                boolean unknown = committing && wrote;
+                end(unknown ? ErrorCode.IN_DOUBT : ErrorCode.ABORTED, "the connection to the endpoint broke");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -0,0 +1,141 @@
+package org.hyssopswitch.pool.store;
+
+import io.vavr.control.Either;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.retry.Backoff;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/**
+ * Follows all objects of one kind: lists them, then watches for changes, and starts again when the history is gone.
+ *
+ * @param <T> what the objects hold
+ */
+public final class TableWatcher<T> {
+
+    /** Longest wait of one watch, milliseconds; an answer that is lost costs at most this and the client's time-out. */
+    private static final long WAIT_MILLIS = 2_000;
+
+    /** Bounds of the pause after a failed call, milliseconds: the store's outages last seconds. */
+    private static final long MIN_PAUSE_MILLIS = 100;
+
+    private static final long MAX_PAUSE_MILLIS = 800;
+    private static final Logger LOG = LogManager.getLogger(TableWatcher.class);
+
+    private final String name;
+    private final ObjectTable<T> table;
+    private final Listener<T> listener;
+    private final DecisionLoop loop;
+    private final LongSupplier clock;
+    private final Backoff backoff;
+    private long revision = -1;
+    private int failures;
+    private long failedSinceMillis;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param name what is watched, for logs
+     * @param table the objects
+     * @param listener takes what is read
+     * @param loop the decision thread
+     * @param random source of the backoff's jitter
+     */
+    public TableWatcher(
+            String name, ObjectTable<T> table, Listener<T> listener, DecisionLoop loop, RandomGenerator random) {
+        this.name = name;
+        this.table = table;
+        this.listener = listener;
+        this.loop = loop;
+        this.clock = loop::nowMillis;
+        this.backoff = new Backoff(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS, random);
+    }
+
+    /** Starts to follow the objects. */
+    public void start() {
+        list();
+    }
+
+    private void list() {
+        table.list(false, this::listed);
+    }
+
+    private void listed(Either<StoreFailure, Listing<T>> result) {
+        if (result.isLeft()) {
+            retry(result.getLeft(), this::list);
+            return;
+        }
+        revision = result.get().revision();
+        succeeded();
+        listener.listed(result.get());
+        watch();
+    }
+
+    private void watch() {
+        table.watch(revision, WAIT_MILLIS, this::watched);
+    }
+
+    private void watched(Either<StoreFailure, Listing<T>> result) {
+        if (result.isLeft() && result.getLeft() instanceof StoreFailure.HistoryGone) {
+            LOG.info("event=watch_restarted table={} revision={} cause=history_gone", name, revision);
+            list();
+        } else if (result.isLeft()) {
+            retry(result.getLeft(), this::watch);
+        } else {
+            revision = Math.max(revision, result.get().revision());
+            succeeded();
+            if (!result.get().objects().isEmpty()) {
+                listener.changed(result.get());
+            }
+            watch();
+        }
+    }
+
+    private void succeeded() {
+        if (failures > 0) {
+            LOG.info(
+                    "event=store_regained table={} failures={} away_ms={}",
+                    name,
+                    failures,
+                    clock.getAsLong() - failedSinceMillis);
+            failures = 0;
+            listener.regained();
+        }
+    }
+
+    private void retry(StoreFailure failure, Runnable again) {
+        if (failures == 0) {
+            failedSinceMillis = clock.getAsLong();
+            LOG.warn("event=store_lost table={} cause=\"{}\"", name, failure.describe());
+        }
+        failures++;
+        loop.schedule(backoff.delayMillis(failures), again);
+    }
+
+    /**
+     * Takes what a watcher reads.
+     *
+     * @param <T> what the objects hold
+     */
+    public interface Listener<T> {
+
+        /**
+         * All objects were read; what is not among them does not exist.
+         *
+         * @param all the objects
+         */
+        void listed(Listing<T> all);
+
+        /**
+         * Some objects changed or were removed.
+         *
+         * @param changes the objects
+         */
+        void changed(Listing<T> changes);
+
+        /** The store answers again after a failure; called before what it answered. */
+        void regained();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmPorts.java
@@ -0,0 +1,30 @@
+package org.hyssopswitch.pool.vm;
+
+import java.util.random.RandomGenerator;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.endpoint.EndpointConnector;
+import org.hyssopswitch.pool.store.ObjectTable;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/**
+ * How a VM reaches the outside.
+ *
+ * @param name name of the VM
+ * @param self what it records about itself
+ * @param loop the decision thread
+ * @param random source of jitter
+ * @param connector opens connections to endpoints
+ * @param catalogs the operator's configuration
+ * @param endpoints the listed endpoints
+ * @param vms the VMs of the fleet
+ */
+public record VmPorts(
+        String name,
+        VmEntry self,
+        DecisionLoop loop,
+        RandomGenerator random,
+        EndpointConnector connector,
+        ObjectTable<Catalog> catalogs,
+        ObjectTable<Endpoint> endpoints,
+        ObjectTable<VmEntry> vms) {}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles one VM that pools connections. */
+package org.hyssopswitch.pool.vm;
