--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
@@ -31,7 +31,8 @@
         return ratePerSecond;
     }
 
-    double burst() {
+    /** Tokens that it holds at most. */
+    public double burst() {
         return burst;
     }
 
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ControlWork.java
@@ -0,0 +1,103 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.function.Consumer;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Reply;
+
+/** A command of the VM's own to one endpoint; it goes before all statements. */
+final class ControlWork implements Work, ReplyHandler {
+
+    private static final int BEFORE_ALL = -1;
+
+    private final EndpointCommand command;
+    private final Account account;
+    private final long assignBeforeMillis;
+    private final Consumer<Option<Reply>> done;
+    private Option<PooledConnection> connection = Option.none();
+    private boolean ended;
+
+    ControlWork(EndpointCommand command, Account account, long assignBeforeMillis, Consumer<Option<Reply>> done) {
+        this.command = command;
+        this.account = account;
+        this.assignBeforeMillis = assignBeforeMillis;
+        this.done = done;
+    }
+
+    @Override
+    public Account account() {
+        return account;
+    }
+
+    @Override
+    public int priority() {
+        return BEFORE_ALL;
+    }
+
+    @Override
+    public boolean primaryOnly() {
+        return false;
+    }
+
+    @Override
+    public boolean control() {
+        return true;
+    }
+
+    @Override
+    public long stalenessMillis() {
+        return 0;
+    }
+
+    @Override
+    public LogPosition sessionFloor() {
+        return LogPosition.ZERO;
+    }
+
+    @Override
+    public long assignBeforeMillis() {
+        return assignBeforeMillis;
+    }
+
+    @Override
+    public long unservableWaitMillis() {
+        return 0;
+    }
+
+    @Override
+    public boolean excludes(String endpointId) {
+        return false;
+    }
+
+    @Override
+    public void assigned(PooledConnection lent, Option<LogPosition> floor) {
+        connection = Option.some(lent);
+        lent.send(command, this);
+    }
+
+    @Override
+    public void refused(ErrorCode code, String reason) {
+        end(Option.none());
+    }
+
+    @Override
+    public void replied(Reply reply) {
+        connection.forEach(PooledConnection::release);
+        end(Option.some(reply));
+    }
+
+    @Override
+    public void lost() {
+        end(Option.none());
+    }
+
+    private void end(Option<Reply> reply) {
+        if (!ended) {
+            ended = true;
+            done.accept(reply);
+        }
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -1,12 +1,14 @@
 package org.hyssopswitch.pool.endpoint;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
@@ -14,7 +16,9 @@
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.catalog.Group;
+import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Reply;
 
 /** The endpoints of one database group as this VM sees them; chooses the endpoint for each statement. */
 public final class DatabaseGroup implements PoolEvents {
@@ -38,10 +42,12 @@
 
     private final String dataCentre;
     private final EndpointConnector connector;
+    private final StatusDecoder decoder;
+    private final BiConsumer<String, String> shortage;
     private final LongSupplier clock;
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final PositionSamples samples = new PositionSamples();
-    private final List<Work> leaderless = new ArrayList<>();
+    private final Map<Work, Long> leaderless = new LinkedHashMap<>();
     private Group group;
     private int vms;
     private Option<String> primaryId = Option.none();
@@ -49,12 +55,14 @@
     private long lastReadMillis = Long.MIN_VALUE / 2;
     private long lastSampleMillis = Long.MIN_VALUE / 2;
 
-    DatabaseGroup(Group group, int vms, String dataCentre, EndpointConnector connector, LongSupplier clock) {
+    DatabaseGroup(Group group, int vms, GroupContext context) {
         this.group = group;
         this.vms = vms;
-        this.dataCentre = dataCentre;
-        this.connector = connector;
-        this.clock = clock;
+        this.dataCentre = context.dataCentre();
+        this.connector = context.connector();
+        this.decoder = context.decoder();
+        this.shortage = context.shortage();
+        this.clock = context.clock();
     }
 
     /** Name of the group. */
@@ -109,6 +117,43 @@
         }
     }
 
+    /**
+     * Asks an endpoint for its status.
+     *
+     * @param endpointId the endpoint
+     * @param limitMillis longest wait for a connection, milliseconds
+     * @param done takes the status, or nothing when the endpoint gave none
+     */
+    public void queryStatus(String endpointId, long limitMillis, Consumer<Option<ReplicaStatus>> done) {
+        control(endpointId, new EndpointCommand.QueryStatus(), limitMillis, done);
+    }
+
+    /**
+     * Makes a primary a replica.
+     *
+     * @param endpointId the endpoint
+     * @param term a term above the primary's
+     * @param limitMillis longest wait for a connection, milliseconds
+     * @param done takes the status afterwards, or nothing when the endpoint gave none
+     */
+    public void stepDown(String endpointId, long term, long limitMillis, Consumer<Option<ReplicaStatus>> done) {
+        control(endpointId, new EndpointCommand.StepDown(term), limitMillis, done);
+    }
+
+    /**
+     * Closes connections to an endpoint beyond this VM's guaranteed share as soon as they are unused.
+     *
+     * @param endpointId the endpoint
+     */
+    public void yieldConnections(String endpointId) {
+        Option.of(pools.get(endpointId)).forEach(EndpointPool::yieldExtra);
+    }
+
+    @Override
+    public void connectionShortage(String endpointId) {
+        shortage.accept(name(), endpointId);
+    }
+
     @Override
     public void provenPrimary(String endpointId, long askedMillis, LogPosition position) {
         boolean newer = position.term() > samples.term();
@@ -177,8 +222,8 @@
     void tick() {
         long now = clock.getAsLong();
         List.copyOf(pools.values()).forEach(EndpointPool::tick);
-        for (Work work : List.copyOf(leaderless)) {
-            if (now >= work.assignBeforeMillis()) {
+        for (Work work : List.copyOf(leaderless.keySet())) {
+            if (now >= leaderless.get(work)) {
                 leaderless.remove(work);
                 work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
             }
@@ -195,6 +240,19 @@
         pools.values().forEach(EndpointPool::closeIdle);
     }
 
+    private void control(
+            String endpointId, EndpointCommand command, long limitMillis, Consumer<Option<ReplicaStatus>> done) {
+        Option.of(pools.get(endpointId))
+                .peek(pool -> pool.control(
+                        command,
+                        limitMillis,
+                        reply -> done.accept(reply.filter(Reply::succeeded)
+                                .flatMap(answer ->
+                                        Option.ofOptional(answer.rows().stream().findFirst()))
+                                .flatMap(decoder::decode))))
+                .onEmpty(() -> done.accept(Option.none()));
+    }
+
     private void removeEndpoint(String id) {
         EndpointPool pool = pools.remove(id);
         LOG.info("event=endpoint_removed group={} endpoint={}", name(), id);
@@ -236,7 +294,7 @@
     }
 
     private void resubmitWaiting() {
-        List<Work> work = List.copyOf(leaderless);
+        List<Work> work = List.copyOf(leaderless.keySet());
         leaderless.clear();
         work.forEach(this::submit);
     }
@@ -271,10 +329,7 @@
     }
 
     private void waitForPrimary(Work work) {
-        if (clock.getAsLong() >= work.assignBeforeMillis()) {
-            work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
-        } else {
-            leaderless.add(work);
-        }
+        long until = clock.getAsLong() + work.unservableWaitMillis();
+        leaderless.put(work, Math.min(until, work.assignBeforeMillis()));
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -197,6 +198,9 @@
         if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
             openAfterMillis = now + FULL_PAUSE_MILLIS;
             shortUntilMillis = now + SHORTAGE_MILLIS;
+            if (connections.size() < limits.guaranteed()) {
+                events.connectionShortage(endpoint.id());
+            }
         } else {
             openAfterMillis = now + FAILED_PAUSE_MILLIS;
             markUnreachable("refused_" + code);
@@ -226,8 +230,8 @@
     }
 
     private void assign(Work work, PooledConnection connection) {
-        Option<LogPosition> floor = work.primaryOnly() ? Option.none() : events.floor(work);
-        if (floor.isEmpty() && !events.isPrimary(endpoint.id())) {
+        Option<LogPosition> floor = work.primaryOnly() || work.control() ? Option.none() : events.floor(work);
+        if (floor.isEmpty() && !work.control() && !events.isPrimary(endpoint.id())) {
             events.requeue(work);
             return;
         }
@@ -265,6 +269,24 @@
         return oldest.isDefined();
     }
 
+    /** Sends a command of the VM's own; the answer is missing when no connection is available in time. */
+    void control(EndpointCommand command, long limitMillis, Consumer<Option<Reply>> done) {
+        ControlWork work = new ControlWork(command, lastAccount, nowMillis() + limitMillis, done);
+        Option<PooledConnection> idle = Option.ofOptional(
+                connections.stream().filter(PooledConnection::idle).findFirst());
+        if (idle.isDefined()) {
+            idle.get().lend();
+            work.assigned(idle.get(), Option.none());
+        } else {
+            offer(work);
+        }
+    }
+
+    /** Closes what this VM holds beyond its guaranteed share and does not use. */
+    void yieldExtra() {
+        shortUntilMillis = nowMillis() + SHORTAGE_MILLIS;
+    }
+
     /** Finds out whether an unreachable endpoint has come back. */
     private void probe(long now) {
         boolean opening = connections.stream().anyMatch(PooledConnection::opening);
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
@@ -0,0 +1,20 @@
+package org.hyssopswitch.pool.endpoint;
+
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+
+/**
+ * What all database groups of a VM use.
+ *
+ * @param dataCentre data centre of this VM
+ * @param connector opens connections
+ * @param decoder reads answers to status queries
+ * @param shortage told group and endpoint when an endpoint refuses what the VM's guaranteed share includes
+ * @param clock milliseconds of the monotonic clock
+ */
+public record GroupContext(
+        String dataCentre,
+        EndpointConnector connector,
+        StatusDecoder decoder,
+        BiConsumer<String, String> shortage,
+        LongSupplier clock) {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
@@ -5,29 +5,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongSupplier;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 
 /** All database groups of the configuration in force. */
 public final class Groups {
 
-    private final String dataCentre;
-    private final EndpointConnector connector;
-    private final LongSupplier clock;
+    private final GroupContext context;
     private final Map<String, DatabaseGroup> groups = new HashMap<>();
 
     /**
      * Creates an empty table.
      *
-     * @param dataCentre data centre of this VM
-     * @param connector opens connections
-     * @param clock milliseconds of the monotonic clock
+     * @param context what all groups use
      */
-    public Groups(String dataCentre, EndpointConnector connector, LongSupplier clock) {
-        this.dataCentre = dataCentre;
-        this.connector = connector;
-        this.clock = clock;
+    public Groups(GroupContext context) {
+        this.context = context;
     }
 
     /**
@@ -39,7 +32,7 @@
      */
     public void update(Catalog catalog, Collection<Endpoint> endpoints, int vms) {
         catalog.groups().values().forEach(declared -> groups.computeIfAbsent(
-                        declared.name(), name -> new DatabaseGroup(declared, vms, dataCentre, connector, clock))
+                        declared.name(), name -> new DatabaseGroup(declared, vms, context))
                 .update(declared, vms, members(endpoints, declared.name())));
         for (String name : List.copyOf(groups.keySet())) {
             if (!catalog.groups().containsKey(name)) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolEvents.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolEvents.java
@@ -15,6 +15,9 @@
     /** An endpoint began or ceased to be unreachable. */
     void reachabilityChanged(String endpointId, boolean reachable);
 
+    /** An endpoint refused a connection that this VM's guaranteed share includes. */
+    void connectionShortage(String endpointId);
+
     /** Whether an endpoint is taken for the primary. */
     boolean isPrimary(String endpointId);
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Work.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Work.java
@@ -17,6 +17,11 @@
     /** Whether only the primary may run it. */
     boolean primaryOnly();
 
+    /** Whether it is a command of the VM's own, for which no log position matters. */
+    default boolean control() {
+        return false;
+    }
+
     /** Accepted age of what it reads, milliseconds. */
     long stalenessMillis();
 
@@ -26,6 +31,9 @@
     /** Time of the monotonic clock, milliseconds, after which it is refused if no connection was assigned. */
     long assignBeforeMillis();
 
+    /** Time for which it waits when no endpoint could run it, milliseconds. */
+    long unservableWaitMillis();
+
     /**
      * Whether an endpoint has failed to run it before.
      *
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyKeeper.java
@@ -0,0 +1,221 @@
+package org.hyssopswitch.pool.failover;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.pool.peer.DutyPing;
+import org.hyssopswitch.pool.peer.DutyPong;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.store.ObjectTable;
+import org.hyssopswitch.pool.store.StoreFailure;
+import org.hyssopswitch.pool.store.Stored;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/**
+ * Knows and takes the promotion duty.
+ *
+ * <p>The holder stays for as long as it answers the other VMs. It is replaced by a conditional update of the record;
+ * because each promotion also updates the record, a takeover fails while the holder is at work.
+ */
+final class DutyKeeper {
+
+    private static final String RECORD = "promotion";
+
+    /** Period in which the holder is asked for a sign of life, milliseconds. */
+    private static final long PING_PERIOD_MILLIS = 500;
+
+    /** Silence of the holder after which its duty is taken, milliseconds. */
+    private static final long SILENCE_MILLIS = 2_500;
+
+    /** Silence of the holder after which its duty is taken while a group needs a promotion, milliseconds. */
+    private static final long URGENT_SILENCE_MILLIS = 1_100;
+
+    /** Greatest random delay of a takeover, milliseconds: the others then see the new record first. */
+    private static final int TAKEOVER_SPREAD_MILLIS = 400;
+
+    /** Pause after a failed call to the store, milliseconds. */
+    private static final long RETRY_MILLIS = 500;
+
+    private static final Logger LOG = LogManager.getLogger(DutyKeeper.class);
+
+    private final String self;
+    private final ObjectTable<DutyRecord> table;
+    private final DecisionLoop loop;
+    private final RandomGenerator random;
+    private PeerLinks peers;
+    private Option<Stored<DutyRecord>> record = Option.none();
+    private boolean confirmed;
+    private boolean calling;
+    private long heardMillis;
+    private long pingedMillis;
+    private long notBeforeMillis;
+
+    DutyKeeper(String self, ObjectTable<DutyRecord> table, DecisionLoop loop, RandomGenerator random, PeerLinks peers) {
+        this.self = self;
+        this.table = table;
+        this.loop = loop;
+        this.random = random;
+        this.peers = peers;
+        this.heardMillis = loop.nowMillis();
+        this.pingedMillis = heardMillis;
+        this.notBeforeMillis = heardMillis + random.nextInt(TAKEOVER_SPREAD_MILLIS);
+    }
+
+    void connect(PeerLinks links) {
+        peers = links;
+    }
+
+    /** Whether this VM's process holds the duty as far as it knows. */
+    boolean held() {
+        return confirmed && holder().contains(self);
+    }
+
+    /** The holder as far as this VM knows. */
+    Option<String> holder() {
+        return record.flatMap(Stored::value).map(DutyRecord::holder);
+    }
+
+    /** Keeps in touch with the holder and takes its place when it is silent. */
+    void tick(boolean urgent) {
+        long now = loop.nowMillis();
+        if (calling || now < notBeforeMillis) {
+            return;
+        }
+        if (record.isEmpty()) {
+            read();
+        } else if (holder().contains(self) && !confirmed) {
+            take();
+        } else if (!held()) {
+            watchHolder(now, urgent);
+        }
+    }
+
+    /** Counts a promotion and returns its record; nothing when this VM no longer holds the duty. */
+    void countPromotion(Consumer<Option<DutyRecord>> done) {
+        if (!held()) {
+            done.accept(Option.none());
+            return;
+        }
+        Stored<DutyRecord> current = record.get();
+        DutyRecord next = current.value().get().nextPromotion();
+        table.write(RECORD, Option.some(current.revision()), next, result -> {
+            if (result.isRight()) {
+                record = Option.some(result.get());
+                done.accept(Option.some(next));
+            } else if (result.getLeft() instanceof StoreFailure.Conflict) {
+                LOG.warn("event=duty_conflict epoch={} action=read_again", next.epoch());
+                forget();
+                done.accept(Option.none());
+            } else {
+                // The tokens of the epoch are this process's own, and the platform refuses them once others used more.
+                LOG.warn("event=promotion_uncounted token={} cause=\"{}\"", next.token(), describe(result));
+                record = Option.some(new Stored<>(RECORD, current.revision(), Option.some(next)));
+                done.accept(Option.some(next));
+            }
+        });
+    }
+
+    /** The platform has seen a higher token than this VM's. */
+    void outdated() {
+        LOG.warn("event=duty_lost holder={} cause=token_refused", holder().getOrElse("none"));
+        forget();
+    }
+
+    void pingReceived(String vm, DutyPing ping) {
+        long epoch = record.flatMap(Stored::value).map(DutyRecord::epoch).getOrElse(-1L);
+        if (ping.epoch() > epoch && !calling) {
+            forget();
+        }
+        peers.send(vm, new DutyPong(epoch, held() ? self : holder().getOrElse("")));
+    }
+
+    void pongReceived(String vm, DutyPong pong) {
+        long epoch = record.flatMap(Stored::value).map(DutyRecord::epoch).getOrElse(-1L);
+        if (pong.epoch() > epoch || !pong.holder().equals(vm)) {
+            forget();
+        } else if (holder().contains(vm)) {
+            heardMillis = loop.nowMillis();
+        }
+    }
+
+    private void watchHolder(long now, boolean urgent) {
+        if (now - pingedMillis >= PING_PERIOD_MILLIS) {
+            pingedMillis = now;
+            peers.send(
+                    holder().get(),
+                    new DutyPing(record.flatMap(Stored::value).get().epoch()));
+        }
+        if (now - heardMillis > (urgent ? URGENT_SILENCE_MILLIS : SILENCE_MILLIS)) {
+            calling = true;
+            loop.schedule(random.nextInt(TAKEOVER_SPREAD_MILLIS), this::takeIfSilent);
+        }
+    }
+
+    private void takeIfSilent() {
+        calling = false;
+        if (record.isDefined() && loop.nowMillis() - heardMillis > URGENT_SILENCE_MILLIS) {
+            LOG.info("event=duty_takeover from={} silent_ms={}", holder().get(), loop.nowMillis() - heardMillis);
+            take();
+        }
+    }
+
+    private void read() {
+        calling = true;
+        table.read(RECORD, result -> {
+            calling = false;
+            heardMillis = loop.nowMillis();
+            if (result.isLeft()) {
+                pause();
+            } else if (result.get().flatMap(Stored::value).isDefined()) {
+                record = result.get();
+            } else {
+                write(Option.none(), new DutyRecord(self, 1, 0));
+            }
+        });
+    }
+
+    private void take() {
+        Stored<DutyRecord> current = record.get();
+        write(
+                Option.some(current.revision()),
+                new DutyRecord(self, current.value().get().epoch() + 1, 0));
+    }
+
+    private void write(Option<Long> expected, DutyRecord next) {
+        calling = true;
+        table.write(RECORD, expected, next, result -> {
+            calling = false;
+            heardMillis = loop.nowMillis();
+            if (result.isRight()) {
+                record = Option.some(result.get());
+                confirmed = true;
+                LOG.info(
+                        "event=duty_taken epoch={} revision={}",
+                        next.epoch(),
+                        result.get().revision());
+            } else {
+                LOG.info("event=duty_not_taken epoch={} cause=\"{}\"", next.epoch(), describe(result));
+                forget();
+                pause();
+            }
+        });
+    }
+
+    /** Reads the record again at the next tick. */
+    private void forget() {
+        record = Option.none();
+        confirmed = false;
+        heardMillis = loop.nowMillis();
+    }
+
+    private void pause() {
+        notBeforeMillis = loop.nowMillis() + RETRY_MILLIS;
+    }
+
+    private static String describe(Either<StoreFailure, ?> result) {
+        return result.getLeft().describe();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryReports.java
@@ -0,0 +1,33 @@
+package org.hyssopswitch.pool.failover;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Which VMs cannot use which endpoint as a primary, by their latest reports. */
+final class PrimaryReports {
+
+    /** Time for which a report counts, milliseconds: three periods of sending. */
+    private static final long VALID_MILLIS = 900;
+
+    private final Map<String, Map<String, Long>> reportedMillis = new HashMap<>();
+
+    void add(String group, String endpoint, String vm, long nowMillis) {
+        reportedMillis
+                .computeIfAbsent(key(group, endpoint), key -> new HashMap<>())
+                .put(vm, nowMillis);
+    }
+
+    /** Number of VMs whose report about an endpoint is recent. */
+    int count(String group, String endpoint, long nowMillis) {
+        Map<String, Long> reports = reportedMillis.get(key(group, endpoint));
+        if (reports == null) {
+            return 0;
+        }
+        reports.values().removeIf(at -> nowMillis - at > VALID_MILLIS);
+        return reports.size();
+    }
+
+    private static String key(String group, String endpoint) {
+        return group + " " + endpoint;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -0,0 +1,120 @@
+package org.hyssopswitch.pool.peer;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.peer.GrizzlyPeerTransport;
+import org.hyssopswitch.peer.MessageRegistry;
+import org.hyssopswitch.peer.PeerListener;
+import org.hyssopswitch.peer.PeerOptions;
+import org.hyssopswitch.peer.PeerTransport;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/** Links over TCP with MessagePack messages. */
+public final class DefaultPeerLinks implements PeerLinks {
+
+    /** VMs that a message for some is sent to: enough to find spare operations, and bounded in any fleet. */
+    private static final int MAX_RECIPIENTS = 8;
+
+    private final DecisionLoop loop;
+    private final Random random;
+    private final BiConsumer<String, PeerMessage> receiver;
+    private final VmAddress self;
+    private final PeerTransport transport;
+    private final Map<String, VmAddress> addresses = new HashMap<>();
+
+    /**
+     * Binds the listener for other VMs.
+     *
+     * @param options who this VM is
+     * @param loop the decision thread
+     * @param random chooses recipients
+     * @param receiver takes messages with the sender's name, on the decision thread
+     */
+    public DefaultPeerLinks(
+            PeerOptions options, DecisionLoop loop, Random random, BiConsumer<String, PeerMessage> receiver) {
+        this.loop = loop;
+        this.random = random;
+        this.receiver = receiver;
+        GrizzlyPeerTransport bound = new GrizzlyPeerTransport(
+                options, registry(), new Inbound(), new MetricRegistry(), random, loop::nowMillis);
+        this.transport = bound;
+        this.self = bound.self();
+    }
+
+    /**
+     * Takes the list of VMs; the address of a later incarnation that has sent a message is kept.
+     *
+     * @param listed the VMs, this one included
+     */
+    public void update(Collection<VmAddress> listed) {
+        Map<String, VmAddress> next = new HashMap<>();
+        listed.forEach(address -> {
+            String name = address.vm().value();
+            VmAddress known = addresses.get(name);
+            next.put(name, known != null && known.incarnation() > address.incarnation() ? known : address);
+        });
+        addresses.clear();
+        addresses.putAll(next);
+        addresses.remove(self.vm().value());
+    }
+
+    @Override
+    public void send(String vm, PeerMessage message) {
+        Option.of(addresses.get(vm)).forEach(to -> transport.send(to, message));
+    }
+
+    @Override
+    public void sendToSome(PeerMessage message) {
+        List<VmAddress> some = new ArrayList<>(addresses.values());
+        if (some.size() > MAX_RECIPIENTS) {
+            Collections.shuffle(some, random);
+            some = some.subList(0, MAX_RECIPIENTS);
+        }
+        some.forEach(to -> transport.send(to, message));
+    }
+
+    @Override
+    public Collection<String> names() {
+        return List.copyOf(addresses.keySet());
+    }
+
+    private static MessageRegistry registry() {
+        return MessageRegistry.builder()
+                .register(110, TokenNeed.class)
+                .register(111, TokenGift.class)
+                .register(112, ConnectionShortage.class)
+                .register(113, PrimaryReport.class)
+                .register(114, DutyPing.class)
+                .register(115, DutyPong.class)
+                .build();
+    }
+
+    private final class Inbound implements PeerListener {
+
+        @Override
+        public void messageReceived(VmAddress from, PeerMessage message) {
+            loop.execute(() -> {
+                VmAddress known = addresses.get(from.vm().value());
+                if (known == null || known.incarnation() < from.incarnation()) {
+                    addresses.put(from.vm().value(), from);
+                }
+                receiver.accept(from.vm().value(), message);
+            });
+        }
+
+        @Override
+        public void linkFailed(VmAddress to) {
+            // Every use of a link has a time limit of its own.
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DutyPong.java
@@ -0,0 +1,11 @@
+package org.hyssopswitch.pool.peer;
+
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Answers whether a VM holds the promotion duty.
+ *
+ * @param epoch the latest epoch known to the sender
+ * @param holder who holds the duty in that epoch
+ */
+public record DutyPong(long epoch, String holder) implements PeerMessage {}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/PrimaryReport.java
@@ -0,0 +1,12 @@
+package org.hyssopswitch.pool.peer;
+
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * Tells the holder of the promotion duty that a VM cannot use the primary of a group.
+ *
+ * @param group the group
+ * @param endpoint the endpoint that the VM takes for the primary; empty when it knows none
+ * @param draining whether the endpoint is reachable but about to stop
+ */
+public record PrimaryReport(String group, String endpoint, boolean draining) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -1,34 +1,45 @@
 package org.hyssopswitch.pool.quota;
 
-import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.hyssopswitch.core.configuration.Rate;
-import org.hyssopswitch.core.limit.TokenBucket;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.TokenGift;
+import org.hyssopswitch.pool.peer.TokenNeed;
 
 /**
- * Admits operations of client accounts at this VM's share of their rates.
+ * Admits operations of client accounts at this VM's share of their rates, and moves what is not needed to VMs that need
+ * it.
  *
- * <p>The shares of all VMs add up to the declared rate and burst, so the limit holds without any exchange.
+ * <p>The shares of all VMs add up to the declared rate and burst. An operation that is handed over is taken from the
+ * giver before it is sent, so a lost message loses it and the limit holds whatever happens to messages and VMs.
  */
 public final class AccountLimiter {
 
-    /** Longest wait told to a caller, milliseconds. */
-    private static final long MAX_RETRY_MILLIS = 5_000;
+    /** Period in which spare operations are asked for, milliseconds: a fraction of a second's rate. */
+    private static final long ASK_PERIOD_MILLIS = 100;
+
+    /** Shortest time between two requests when operations run out, milliseconds. */
+    private static final long URGENT_PERIOD_MILLIS = 25;
 
     private final LongSupplier clock;
-    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private final Map<String, AccountShare> shares = new HashMap<>();
+    private PeerLinks peers;
+    private long askedMillis;
 
     /**
      * Creates a limiter that knows no account.
      *
+     * @param peers the other VMs
      * @param clock milliseconds of the monotonic clock
      */
-    public AccountLimiter(LongSupplier clock) {
+    public AccountLimiter(PeerLinks peers, LongSupplier clock) {
+        this.peers = peers;
         this.clock = clock;
+        this.askedMillis = clock.getAsLong();
     }
 
     /**
@@ -42,23 +53,113 @@
         Map<String, Rate> limits = new HashMap<>();
         catalog.accounts().values().forEach(account -> account.limit()
                 .forEach(rate -> limits.put(account.name(), rate)));
-        buckets.keySet().retainAll(limits.keySet());
-        limits.forEach((name, rate) -> buckets.computeIfAbsent(name, key -> new TokenBucket(0, 0, now))
-                .resize(rate.perSecond() / vms, Math.max(1, rate.burst() / vms), now));
+        shares.keySet().retainAll(limits.keySet());
+        limits.forEach((name, rate) ->
+                shares.computeIfAbsent(name, key -> new AccountShare(now)).resize(rate, vms, now));
+    }
+
+    /**
+     * Sends over whom spare operations are exchanged from now on.
+     *
+     * @param links the other VMs
+     */
+    public void connect(PeerLinks links) {
+        peers = links;
     }
 
     /**
-     * Admits an operation.
+     * Admits an operation now, or later when an operation is likely to become free within a short wait.
      *
      * @param account the client account
-     * @return nothing when it is admitted, otherwise milliseconds until the next may be
+     * @param maxWaitMillis longest wait, milliseconds
+     * @param admission told the decision, possibly before this call returns
+     */
+    public void admit(Account account, long maxWaitMillis, Admission admission) {
+        AccountShare share = shares.get(account.name());
+        long now = clock.getAsLong();
+        if (share == null || share.tryTake(now)) {
+            admission.admitted();
+            return;
+        }
+        if (now - askedMillis >= URGENT_PERIOD_MILLIS) {
+            ask(now);
+        }
+        share.waitOrRefuse(admission, now, maxWaitMillis);
+    }
+
+    /** Admits or refuses what waits and asks for spare operations; called every few milliseconds. */
+    public void tick() {
+        long now = clock.getAsLong();
+        shares.values().forEach(share -> share.settle(now));
+        if (now - askedMillis >= ASK_PERIOD_MILLIS) {
+            ask(now);
+        }
+    }
+
+    /**
+     * Gives another VM what this one will not need soon.
+     *
+     * @param vm name of the VM
+     * @param need what it asks for
+     */
+    public void needReceived(String vm, TokenNeed need) {
+        long now = clock.getAsLong();
+        Map<String, Double> tokens = new HashMap<>();
+        need.wanted().forEach((name, wanted) -> {
+            AccountShare share = shares.get(name);
+            double given = share == null ? 0 : share.give(wanted, now);
+            if (given > 0) {
+                tokens.put(name, given);
+            }
+        });
+        if (!tokens.isEmpty()) {
+            peers.send(vm, new TokenGift(tokens));
+        }
+    }
+
+    /**
+     * Takes operations that another VM handed over.
+     *
+     * @param gift the operations
      */
-    public Option<Long> admit(Account account) {
-        TokenBucket bucket = buckets.get(account.name());
+    public void giftReceived(TokenGift gift) {
         long now = clock.getAsLong();
-        if (bucket == null || bucket.tryTake(now)) {
-            return Option.none();
+        gift.tokens().forEach((name, tokens) -> {
+            AccountShare share = shares.get(name);
+            if (share != null) {
+                share.take(tokens, now);
+            }
+        });
+    }
+
+    private void ask(long now) {
+        askedMillis = now;
+        Map<String, Double> wanted = new HashMap<>();
+        shares.forEach((name, share) -> {
+            double missing = share.missing(now);
+            if (missing > 0) {
+                wanted.put(name, missing);
+            }
+        });
+        if (!wanted.isEmpty()) {
+            peers.sendToSome(new TokenNeed(wanted));
         }
-        return Option.some(bucket.untilTokenMillis(now, MAX_RETRY_MILLIS));
+    }
+
+    /** Takes the decision on one operation. */
+    public interface Admission {
+
+        /** The operation may run. */
+        void admitted();
+
+        /**
+         * The client account is beyond its rate.
+         *
+         * @param retryAfterMillis milliseconds after which an operation is likely to be admitted
+         */
+        void refused(long retryAfterMillis);
+
+        /** Whether the caller still waits. */
+        boolean wanted();
     }
 }
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
@@ -0,0 +1,103 @@
+package org.hyssopswitch.pool.quota;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.hyssopswitch.core.configuration.Rate;
+import org.hyssopswitch.core.limit.TokenBucket;
+
+/** One VM's share of a client account's rate, and the operations that wait for it. */
+final class AccountShare {
+
+    /** Time for which operations are kept ahead, milliseconds: several exchanges between VMs. */
+    private static final double AHEAD_MILLIS = 400;
+
+    /** Time over which demand is averaged, milliseconds. */
+    private static final double DEMAND_MILLIS = 1_000;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Longest wait told to a caller, milliseconds. */
+    private static final long MAX_RETRY_MILLIS = 5_000;
+
+    private final TokenBucket bucket;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private double demandPerMilli;
+    private long demandMillis;
+    private double fleetRate;
+
+    AccountShare(long nowMillis) {
+        this.bucket = new TokenBucket(0, 0, nowMillis);
+        this.demandMillis = nowMillis;
+    }
+
+    void resize(Rate rate, int vms, long nowMillis) {
+        fleetRate = rate.perSecond();
+        bucket.resize(rate.perSecond() / vms, Math.max(1, rate.burst() / vms), nowMillis);
+    }
+
+    boolean tryTake(long nowMillis) {
+        decayDemand(nowMillis);
+        demandPerMilli += 1 / DEMAND_MILLIS;
+        return waiting.isEmpty() && bucket.tryTake(nowMillis);
+    }
+
+    /** Lets an operation wait unless more wait already than the whole fleet's rate could admit in the time. */
+    void waitOrRefuse(AccountLimiter.Admission admission, long nowMillis, long maxWaitMillis) {
+        if (waiting.size() + 1 > fleetRate * maxWaitMillis / MILLIS_PER_SECOND) {
+            admission.refused(retryAfterMillis(nowMillis));
+        } else {
+            waiting.addLast(new Waiting(admission, nowMillis + maxWaitMillis));
+        }
+    }
+
+    /** Admits what waits as far as operations are free, and refuses what has waited too long. */
+    void settle(long nowMillis) {
+        waiting.removeIf(one -> !one.admission().wanted());
+        List<Waiting> admitted = new ArrayList<>();
+        while (!waiting.isEmpty() && bucket.tryTake(nowMillis)) {
+            admitted.add(waiting.removeFirst());
+        }
+        List<Waiting> refused = new ArrayList<>();
+        while (!waiting.isEmpty() && nowMillis >= waiting.peekFirst().untilMillis()) {
+            refused.add(waiting.removeFirst());
+        }
+        long retryMillis = retryAfterMillis(nowMillis);
+        admitted.forEach(one -> one.admission().admitted());
+        refused.forEach(one -> one.admission().refused(retryMillis));
+    }
+
+    /** Operations that are likely to be asked for soon and are not at hand. */
+    double missing(long nowMillis) {
+        decayDemand(nowMillis);
+        double wanted = Math.min(bucket.burst(), waiting.size() + demandPerMilli * AHEAD_MILLIS);
+        double missing = wanted - bucket.tokens(nowMillis);
+        return missing < 1 ? 0 : missing;
+    }
+
+    /** Hands over up to half of what this VM will not need soon. */
+    double give(double wanted, long nowMillis) {
+        decayDemand(nowMillis);
+        double spare = bucket.tokens(nowMillis) - waiting.size() - demandPerMilli * AHEAD_MILLIS;
+        return spare <= 0 ? 0 : bucket.withdraw(Math.min(wanted, spare / 2), nowMillis);
+    }
+
+    void take(double tokens, long nowMillis) {
+        bucket.deposit(tokens, nowMillis);
+        settle(nowMillis);
+    }
+
+    private long retryAfterMillis(long nowMillis) {
+        return bucket.untilTokenMillis(nowMillis, MAX_RETRY_MILLIS);
+    }
+
+    private void decayDemand(long nowMillis) {
+        if (nowMillis > demandMillis) {
+            demandPerMilli *= Math.exp((demandMillis - nowMillis) / DEMAND_MILLIS);
+            demandMillis = nowMillis;
+        }
+    }
+
+    private record Waiting(AccountLimiter.Admission admission, long untilMillis) {}
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -8,10 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Outcome;
 import org.hyssopswitch.pool.statement.PreparedShape;
@@ -25,6 +27,9 @@
     /** Statements that a caller may send ahead of their answers. */
     private static final int MAX_PIPELINED = 64;
 
+    /** Part of the latency objective for which an operation waits when its client account is out of rate. */
+    private static final double RATE_WAIT_PART = 0.2;
+
     private final Sessions sessions;
     private final CallerLink link;
     private final Map<String, String> values = new TreeMap<>();
@@ -248,7 +253,7 @@
             fail(ErrorCode.MALFORMED, "a transaction is open");
             return;
         }
-        admit().peek(authorization -> {
+        admit(authorization -> {
             transaction = Option.some(new Transaction(this, authorization, begin.readOnly()));
             succeed();
         });
@@ -272,7 +277,7 @@
             }
             return;
         }
-        admit().peek(authorization -> {
+        admit(authorization -> {
             single = Option.some(new SingleStatement(this, authorization, statement));
             single.get().submit();
         });
@@ -292,18 +297,16 @@
     }
 
     /** Checks route, key and rate for a new operation; answers the statement when it is refused. */
-    private Option<Authorization> admit() {
+    private void admit(Consumer<Authorization> start) {
         Either<ErrorCode, Authorization> authorization = authorize();
         if (authorization.isLeft()) {
             fail(
                     authorization.getLeft(),
                     "refused under configuration " + sessions.catalog().version());
-            return Option.none();
+            return;
         }
-        Option<Long> wait = sessions.limiter().admit(authorization.get().account());
-        wait.forEach(millis ->
-                fail(ErrorCode.OVERLOADED, "the client account is beyond its rate; retry_after_ms=" + millis));
-        return wait.isDefined() ? Option.none() : authorization.toOption();
+        long wait = Math.round(authorization.get().route().objectiveMillis() * RATE_WAIT_PART);
+        sessions.limiter().admit(authorization.get().account(), wait, new RateAdmission(authorization.get(), start));
     }
 
     private Either<ErrorCode, Authorization> authorize() {
@@ -326,5 +329,34 @@
         finished(new Outcome.Failed(code, reason), Option.none());
     }
 
+    private final class RateAdmission implements AccountLimiter.Admission {
+
+        private final Authorization authorization;
+        private final Consumer<Authorization> start;
+
+        RateAdmission(Authorization authorization, Consumer<Authorization> start) {
+            this.authorization = authorization;
+            this.start = start;
+        }
+
+        @Override
+        public void admitted() {
+            start.accept(authorization);
+        }
+
+        @Override
+        public void refused(long retryAfterMillis) {
+            fail(
+                    ErrorCode.OVERLOADED,
+                    "the client account " + authorization.account().name() + " is beyond its rate; retry_after_ms="
+                            + retryAfterMillis);
+        }
+
+        @Override
+        public boolean wanted() {
+            return !closed;
+        }
+    }
+
     private record Request(String id, Statement statement) {}
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Operation.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Operation.java
@@ -10,6 +10,9 @@
 /** What a single statement and a transaction have in common while they wait for an endpoint. */
 abstract class Operation implements Work {
 
+    /** Part of the latency objective for which an operation waits when no endpoint could run it. */
+    private static final double UNSERVABLE_WAIT_PART = 0.2;
+
     private final Set<String> excluded = new HashSet<>();
     private final CallerSession session;
     private final Route route;
@@ -54,6 +57,11 @@
         return assignBeforeMillis;
     }
 
+    @Override
+    public final long unservableWaitMillis() {
+        return Math.round(route.objectiveMillis() * UNSERVABLE_WAIT_PART);
+    }
+
     @Override
     public final boolean excludes(String endpointId) {
         return excluded.contains(endpointId);
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
@@ -0,0 +1,190 @@
+package org.hyssopswitch.pool.vm;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.identity.CellId;
+import org.hyssopswitch.core.identity.DataCentreId;
+import org.hyssopswitch.core.identity.VmAddress;
+import org.hyssopswitch.core.identity.VmId;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.peer.PeerOptions;
+import org.hyssopswitch.pool.peer.DefaultPeerLinks;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.store.Listing;
+import org.hyssopswitch.pool.store.StoreFailure;
+import org.hyssopswitch.pool.store.Stored;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/** Makes this VM known to the others through the store and keeps links to them. */
+final class Fleet {
+
+    private static final String SECRET = "secret";
+    private static final int SECRET_BYTES = 24;
+
+    /** Pause before a failed call to the store is repeated, milliseconds. */
+    private static final long RETRY_MILLIS = 400;
+
+    /** Period in which the list of VMs is read, milliseconds: VMs come and go rarely. */
+    private static final long LIST_MILLIS = 5_000;
+
+    /** Period in which the list of VMs is read until the fleet has started, milliseconds. */
+    private static final long START_LIST_MILLIS = 1_500;
+
+    /** Reads of the list of VMs at the shorter period. */
+    private static final int START_LISTS = 6;
+
+    private static final Logger LOG = LogManager.getLogger(Fleet.class);
+
+    private final VmPorts ports;
+    private final DecisionLoop loop;
+    private final BiConsumer<String, PeerMessage> receiver;
+    private final Consumer<PeerLinks> connected;
+    private final IntConsumer sizeChanged;
+    private Option<DefaultPeerLinks> links = Option.none();
+    private int size;
+    private int lists;
+
+    /**
+     * Creates the fleet of one VM.
+     *
+     * @param ports the way to the outside
+     * @param receiver takes messages of other VMs
+     * @param connected told once messages can be sent
+     * @param sizeChanged told the number of VMs, this one included
+     */
+    Fleet(
+            VmPorts ports,
+            BiConsumer<String, PeerMessage> receiver,
+            Consumer<PeerLinks> connected,
+            IntConsumer sizeChanged) {
+        this.ports = ports;
+        this.loop = ports.loop();
+        this.receiver = receiver;
+        this.connected = connected;
+        this.sizeChanged = sizeChanged;
+    }
+
+    void start() {
+        readSecret();
+    }
+
+    /** Number of VMs, this one included; 0 until it is known. */
+    int size() {
+        return size;
+    }
+
+    private void readSecret() {
+        ports.secrets().read(SECRET, result -> {
+            if (result.isLeft()) {
+                retry(result, this::readSecret);
+            } else if (result.get().flatMap(Stored::value).isDefined()) {
+                link(result.get().get().value().get());
+            } else {
+                createSecret();
+            }
+        });
+    }
+
+    private void createSecret() {
+        byte[] bytes = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(bytes);
+        FleetSecret secret = new FleetSecret(Base64.getEncoder().encodeToString(bytes));
+        ports.secrets().write(SECRET, Option.none(), secret, result -> {
+            if (result.isRight()) {
+                link(secret);
+            } else {
+                retry(result, this::readSecret);
+            }
+        });
+    }
+
+    private void link(FleetSecret secret) {
+        VmEntry self = ports.self();
+        PeerOptions options = new PeerOptions(
+                new VmId(ports.name()),
+                self.incarnation(),
+                new DataCentreId(self.dataCentre()),
+                new CellId(self.dataCentre()),
+                self.host(),
+                self.port(),
+                secret.secret().getBytes(StandardCharsets.UTF_8),
+                PeerOptions.Limits.DEFAULT);
+        DefaultPeerLinks opened = new DefaultPeerLinks(options, loop, new Random(self.incarnation()), receiver);
+        links = Option.some(opened);
+        connected.accept(opened);
+        register(Option.none());
+    }
+
+    private void register(Option<Long> expected) {
+        ports.vms().write(ports.name(), expected, ports.self(), result -> {
+            if (result.isRight()) {
+                list();
+            } else if (result.getLeft() instanceof StoreFailure.Conflict) {
+                ports.vms().read(ports.name(), found -> {
+                    if (found.isLeft()) {
+                        retry(found, () -> register(Option.none()));
+                    } else {
+                        register(found.get().map(Stored::revision));
+                    }
+                });
+            } else {
+                retry(result, () -> register(expected));
+            }
+        });
+    }
+
+    private void list() {
+        lists++;
+        loop.schedule(lists < START_LISTS ? START_LIST_MILLIS : LIST_MILLIS, this::list);
+        // The first list must include this VM and all that started before it.
+        ports.vms().list(size > 0, result -> result.peek(this::listed)
+                .peekLeft(failure -> LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe())));
+    }
+
+    private void listed(Listing<VmEntry> listing) {
+        List<Stored<VmEntry>> known = listing.objects().stream()
+                .filter(stored -> stored.value().isDefined())
+                .toList();
+        if (known.isEmpty()) {
+            return;
+        }
+        links.forEach(opened -> opened.update(addresses(known)));
+        if (known.size() != size) {
+            LOG.info("event=fleet_size_changed from={} to={} revision={}", size, known.size(), listing.revision());
+            size = known.size();
+            sizeChanged.accept(size);
+        }
+    }
+
+    private static Collection<VmAddress> addresses(List<Stored<VmEntry>> known) {
+        return known.stream()
+                .map(stored -> address(stored.name(), stored.value().get()))
+                .toList();
+    }
+
+    private static VmAddress address(String name, VmEntry entry) {
+        return new VmAddress(
+                new VmId(name),
+                entry.incarnation(),
+                new DataCentreId(entry.dataCentre()),
+                new CellId(entry.dataCentre()),
+                entry.host(),
+                entry.port());
+    }
+
+    private void retry(Either<StoreFailure, ?> result, Runnable again) {
+        LOG.warn("event=fleet_call_failed cause=\"{}\"", result.getLeft().describe());
+        loop.schedule(RETRY_MILLIS, again);
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -1,23 +1,26 @@
 package org.hyssopswitch.pool.vm;
 
-import io.vavr.control.Either;
-import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.catalog.EndpointDirectory;
+import org.hyssopswitch.pool.endpoint.GroupContext;
 import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.failover.PromotionSystem;
+import org.hyssopswitch.pool.peer.ConnectionShortage;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.TokenGift;
+import org.hyssopswitch.pool.peer.TokenNeed;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.session.RequestLog;
 import org.hyssopswitch.pool.session.Sessions;
 import org.hyssopswitch.pool.store.Listing;
-import org.hyssopswitch.pool.store.StoreFailure;
-import org.hyssopswitch.pool.store.Stored;
 import org.hyssopswitch.pool.store.TableWatcher;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
@@ -27,15 +30,6 @@
     /** Period in which time limits are checked, milliseconds. */
     private static final long TICK_MILLIS = 20;
 
-    /** Period in which the list of VMs is read, milliseconds: VMs come and go rarely. */
-    private static final long VM_LIST_MILLIS = 5_000;
-
-    /** Period in which the list of VMs is read until the fleet has started, milliseconds. */
-    private static final long VM_LIST_START_MILLIS = 1_500;
-
-    /** Reads of the list of VMs at the shorter period. */
-    private static final int VM_LIST_START_COUNT = 6;
-
     private static final Logger LOG = LogManager.getLogger(PoolVm.class);
 
     private final VmPorts ports;
@@ -44,11 +38,12 @@
     private final Groups groups;
     private final AccountLimiter limiter;
     private final Sessions sessions;
+    private final PromotionSystem promotions;
+    private final Fleet fleet;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private int vms = 1;
-    private int vmLists;
+    private volatile int vms;
+    private PeerLinks peers;
     private volatile boolean endpointsListed;
-    private volatile boolean registered;
     private volatile boolean draining;
 
     /**
@@ -60,8 +55,17 @@
         this.ports = ports;
         this.loop = ports.loop();
         this.directory = new EndpointDirectory(loop::nowMillis);
-        this.groups = new Groups(ports.self().dataCentre(), ports.connector(), loop::nowMillis);
-        this.limiter = new AccountLimiter(loop::nowMillis);
+        this.peers = new NoPeerLinks();
+        this.groups = new Groups(new GroupContext(
+                ports.self().dataCentre(),
+                ports.connector(),
+                ports.decoder(),
+                (group, endpoint) -> peers.sendToSome(new ConnectionShortage(group, endpoint)),
+                loop::nowMillis));
+        this.limiter = new AccountLimiter(peers, loop::nowMillis);
+        this.promotions = new PromotionSystem(
+                ports.name(), groups, ports.authority(), ports.duties(), loop, ports.random(), peers);
+        this.fleet = new Fleet(ports, this::received, this::connected, this::sizeChanged);
         this.sessions = new Sessions(groups, limiter, new RequestLog(loop::nowMillis), loop::nowMillis);
     }
 
@@ -69,7 +73,7 @@
     public void start() {
         new TableWatcher<>("configuration", ports.catalogs(), new CatalogListener(), loop, ports.random()).start();
         new TableWatcher<>("endpoints", ports.endpoints(), new EndpointListener(), loop, ports.random()).start();
-        register(Option.none());
+        fleet.start();
         loop.schedule(TICK_MILLIS, this::tick);
     }
 
@@ -80,7 +84,7 @@
 
     /** Whether new callers may be sent here; may be read on any thread. */
     public boolean ready() {
-        return !draining && endpointsListed && catalog.version() >= 0 && registered;
+        return !draining && endpointsListed && catalog.version() >= 0 && vms > 0;
     }
 
     /**
@@ -104,56 +108,43 @@
         if (directory.tick()) {
             apply();
         }
+        limiter.tick();
         groups.tick();
         sessions.tick();
+        promotions.tick();
     }
 
     private void apply() {
+        if (vms == 0) {
+            return;
+        }
         groups.update(catalog, directory.endpoints(), vms);
         limiter.update(catalog, vms);
         sessions.configure(catalog);
     }
 
-    private void register(Option<Long> expected) {
-        ports.vms().write(ports.name(), expected, ports.self(), result -> registered(result));
-    }
-
-    private void registered(Either<StoreFailure, Stored<VmEntry>> result) {
-        if (result.isRight()) {
-            registered = true;
-            listVms();
-        } else if (result.getLeft() instanceof StoreFailure.Conflict) {
-            ports.vms().read(ports.name(), this::replaceEntry);
+    private void received(String vm, PeerMessage message) {
+        if (message instanceof TokenNeed need) {
+            limiter.needReceived(vm, need);
+        } else if (message instanceof TokenGift gift) {
+            limiter.giftReceived(gift);
+        } else if (message instanceof ConnectionShortage shortage) {
+            groups.find(shortage.group()).forEach(group -> group.yieldConnections(shortage.endpoint()));
         } else {
-            loop.schedule(VM_LIST_START_MILLIS, () -> register(Option.none()));
+            promotions.received(vm, message);
         }
     }
 
-    private void replaceEntry(Either<StoreFailure, Option<Stored<VmEntry>>> found) {
-        if (found.isLeft()) {
-            loop.schedule(VM_LIST_START_MILLIS, () -> register(Option.none()));
-        } else {
-            register(found.get().map(Stored::revision));
-        }
-    }
-
-    private void listVms() {
-        vmLists++;
-        long period = vmLists < VM_LIST_START_COUNT ? VM_LIST_START_MILLIS : VM_LIST_MILLIS;
-        loop.schedule(period, this::listVms);
-        ports.vms().list(true, result -> result.peek(this::vmsListed)
-                .peekLeft(failure -> LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe())));
+    private void connected(PeerLinks links) {
+        peers = links;
+        limiter.connect(links);
+        promotions.connect(links);
     }
 
-    private void vmsListed(Listing<VmEntry> listing) {
-        int count = Math.max(1, (int) listing.objects().stream()
-                .filter(stored -> stored.value().isDefined())
-                .count());
-        if (count != vms) {
-            LOG.info("event=fleet_size_changed from={} to={}", vms, count);
-            vms = count;
-            apply();
-        }
+    private void sizeChanged(int size) {
+        vms = size;
+        promotions.fleetSize(size);
+        apply();
     }
 
     private final class CatalogListener implements TableWatcher.Listener<Catalog> {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmPorts.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmPorts.java
@@ -4,6 +4,9 @@
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointConnector;
+import org.hyssopswitch.pool.endpoint.StatusDecoder;
+import org.hyssopswitch.pool.failover.DutyRecord;
+import org.hyssopswitch.pool.failover.PromotionAuthority;
 import org.hyssopswitch.pool.store.ObjectTable;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
@@ -18,6 +21,10 @@
  * @param catalogs the operator's configuration
  * @param endpoints the listed endpoints
  * @param vms the VMs of the fleet
+ * @param secrets the secret that the VMs of the fleet share
+ * @param duties who may order promotions
+ * @param authority orders promotions
+ * @param decoder reads answers to status queries
  */
 public record VmPorts(
         String name,
@@ -27,4 +34,8 @@
         EndpointConnector connector,
         ObjectTable<Catalog> catalogs,
         ObjectTable<Endpoint> endpoints,
-        ObjectTable<VmEntry> vms) {}
+        ObjectTable<VmEntry> vms,
+        ObjectTable<FleetSecret> secrets,
+        ObjectTable<DutyRecord> duties,
+        PromotionAuthority authority,
+        StatusDecoder decoder) {}
