--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -38,6 +38,9 @@
     /** Time for which reads keep the positions of the primary up to date, milliseconds. */
     private static final long READ_INTEREST_MILLIS = 3_000;
 
+    /** Period in which the use of connections is logged, milliseconds. */
+    private static final long REPORT_MILLIS = 10_000;
+
     private static final Logger LOG = LogManager.getLogger(DatabaseGroup.class);
 
     private final String dataCentre;
@@ -53,6 +56,7 @@
     private Option<String> primaryId = Option.none();
     private long primaryRevision = -1;
     private long lastReadMillis = Long.MIN_VALUE / 2;
+    private long reportedMillis;
     private long lastSampleMillis = Long.MIN_VALUE / 2;
 
     DatabaseGroup(Group group, int vms, GroupContext context) {
@@ -63,6 +67,7 @@
         this.decoder = context.decoder();
         this.shortage = context.shortage();
         this.clock = context.clock();
+        this.reportedMillis = clock.getAsLong();
     }
 
     /** Name of the group. */
@@ -228,6 +233,10 @@
                 work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
             }
         }
+        if (now - reportedMillis >= REPORT_MILLIS) {
+            reportedMillis = now;
+            pools.values().forEach(EndpointPool::report);
+        }
         boolean interest = now - lastReadMillis < READ_INTEREST_MILLIS;
         boolean old = now - samples.latestAskedMillis().getOrElse(lastSampleMillis) > SAMPLE_INTERVAL_MILLIS;
         if (interest && old && now - lastSampleMillis > SAMPLE_INTERVAL_MILLIS) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -43,6 +43,9 @@
     /** Silence with an unanswered question after which an endpoint counts as unreachable, milliseconds. */
     private static final long SILENCE_MILLIS = 700;
 
+    /** Part of an opening's time that counts against an endpoint: the connection serves later statements too. */
+    private static final double OPEN_WEIGHT = 0.3;
+
     private static final double SMOOTHING = 0.1;
     private static final double FIRST_SERVICE_MILLIS = 10;
     private static final double FIRST_OPEN_MILLIS = 15;
@@ -53,6 +56,8 @@
     private final LongSupplier clock;
     private final List<PooledConnection> connections = new ArrayList<>();
     private final List<Work> waiting = new ArrayList<>();
+    private final Map<Work, Long> waitingSince = new HashMap<>();
+    private final PoolCounters counters = new PoolCounters();
     private Endpoint endpoint;
     private PoolLimits limits;
     private long openAfterMillis;
@@ -107,7 +112,7 @@
                 connections.stream().filter(c -> c.account().equals(account)).count();
         boolean idle =
                 connections.stream().anyMatch(c -> c.idle() && c.account().equals(account));
-        double opening = idle ? 0 : openMillis;
+        double opening = idle ? 0 : openMillis * OPEN_WEIGHT;
         double queued = waiting.size() * serviceMillis / Math.max(1, Math.max(usable, connections.size()));
         double busy = connections.stream().filter(c -> !c.idle()).count() * serviceMillis / 2;
         return opening + queued + busy + serviceMillis + endpoint.coldMillis() / 100.0;
@@ -119,6 +124,7 @@
             at--;
         }
         waiting.add(at, work);
+        waitingSince.put(work, nowMillis());
         pump();
     }
 
@@ -126,6 +132,7 @@
     List<Work> drainWaiting() {
         List<Work> result = List.copyOf(waiting);
         waiting.clear();
+        waitingSince.clear();
         return result;
     }
 
@@ -133,6 +140,19 @@
         List.copyOf(connections).forEach(PooledConnection::discard);
     }
 
+    /** Logs what happened since the last report. */
+    void report() {
+        LOG.info(
+                "event=pool_report endpoint={} group={} connections={} idle={} waiting={} service_ms={} {}",
+                endpoint.id(),
+                endpoint.group(),
+                connections.size(),
+                connections.stream().filter(PooledConnection::idle).count(),
+                waiting.size(),
+                Math.round(serviceMillis),
+                counters.takeReport());
+    }
+
     /** Closes connections that are not lent. */
     void closeIdle() {
         connections.stream().filter(PooledConnection::idle).toList().forEach(PooledConnection::discard);
@@ -186,6 +206,7 @@
     }
 
     void openedAfter(long millis) {
+        counters.opened(millis);
         openMillis += SMOOTHING * (millis - openMillis);
     }
 
@@ -194,6 +215,7 @@
     }
 
     void openRefused(ErrorCode code) {
+        counters.openRefused();
         long now = nowMillis();
         if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
             openAfterMillis = now + FULL_PAUSE_MILLIS;
@@ -230,11 +252,13 @@
     }
 
     private void assign(Work work, PooledConnection connection) {
+        long since = waitingSince.remove(work);
         Option<LogPosition> floor = work.primaryOnly() || work.control() ? Option.none() : events.floor(work);
         if (floor.isEmpty() && !work.control() && !events.isPrimary(endpoint.id())) {
             events.requeue(work);
             return;
         }
+        counters.assigned(nowMillis() - since);
         connection.lend();
         work.assigned(connection, floor);
     }
@@ -266,6 +290,7 @@
                 .filter(PooledConnection::idle)
                 .min(Comparator.comparingLong(PooledConnection::sinceMillis)));
         oldest.forEach(PooledConnection::discard);
+        oldest.forEach(closed -> counters.evicted());
         return oldest.isDefined();
     }
 
@@ -306,6 +331,7 @@
         for (Work work : List.copyOf(waiting)) {
             if (now >= work.assignBeforeMillis()) {
                 waiting.remove(work);
+                waitingSince.remove(work);
                 work.refused(ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time");
             }
         }
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
@@ -0,0 +1,47 @@
+package org.hyssopswitch.pool.endpoint;
+
+/** What happened at one endpoint since the counters were last read. */
+final class PoolCounters {
+
+    private long assigned;
+    private long waitedMillis;
+    private long opened;
+    private long openMillis;
+    private long openRefused;
+    private long evicted;
+
+    void assigned(long afterMillis) {
+        assigned++;
+        waitedMillis += afterMillis;
+    }
+
+    void opened(long afterMillis) {
+        opened++;
+        openMillis += afterMillis;
+    }
+
+    void openRefused() {
+        openRefused++;
+    }
+
+    void evicted() {
+        evicted++;
+    }
+
+    /** Writes the counters as fields of a log line and starts again at zero. */
+    String takeReport() {
+        String report = "assigned=" + assigned + " wait_ms_mean=" + mean(waitedMillis, assigned) + " opened=" + opened
+                + " open_ms_mean=" + mean(openMillis, opened) + " open_refused=" + openRefused + " evicted=" + evicted;
+        assigned = 0;
+        waitedMillis = 0;
+        opened = 0;
+        openMillis = 0;
+        openRefused = 0;
+        evicted = 0;
+        return report;
+    }
+
+    private static long mean(long sum, long count) {
+        return count == 0 ? 0 : sum / count;
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -75,7 +75,8 @@
             handler.lost();
             return;
         }
-        pending.addLast(new Pending(handler, pool.nowMillis()));
+        boolean timed = command instanceof EndpointCommand.Forward || command instanceof EndpointCommand.Execute;
+        pending.addLast(new Pending(handler, pool.nowMillis(), timed));
         link.send(List.of(command));
     }
 
@@ -145,6 +146,9 @@
             return;
         }
         status = reply.status();
+        if (first.timed()) {
+            pool.servedIn(pool.nowMillis() - first.sentMillis());
+        }
         first.handler().replied(reply);
         settle();
     }
@@ -224,7 +228,7 @@
         CLOSED
     }
 
-    private record Pending(ReplyHandler handler, long sentMillis) {
+    private record Pending(ReplyHandler handler, long sentMillis, boolean timed) {
 
         Pending {
             Objects.requireNonNull(handler, "a command must have a handler");
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -25,6 +25,9 @@
     /** Shortest time between two requests when operations run out, milliseconds. */
     private static final long URGENT_PERIOD_MILLIS = 25;
 
+    /** What is asked for in all, as a multiple of what is missing: most VMs have little to spare. */
+    private static final double OVERASK = 2;
+
     private final LongSupplier clock;
     private final Map<String, AccountShare> shares = new HashMap<>();
     private PeerLinks peers;
@@ -135,10 +138,11 @@
     private void ask(long now) {
         askedMillis = now;
         Map<String, Double> wanted = new HashMap<>();
+        int asked = Math.max(1, peers.names().size());
         shares.forEach((name, share) -> {
             double missing = share.missing(now);
             if (missing > 0) {
-                wanted.put(name, missing);
+                wanted.put(name, missing * Math.min(asked, OVERASK) / asked);
             }
         });
         if (!wanted.isEmpty()) {
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
@@ -0,0 +1,160 @@
+package org.hyssopswitch.pool.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntToDoubleFunction;
+import org.hyssopswitch.core.configuration.Rate;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.TokenGift;
+import org.hyssopswitch.pool.peer.TokenNeed;
+import org.hyssopswitch.pool.testing.ManualLoop;
+import org.junit.jupiter.api.Test;
+
+class AccountLimiterTests {
+
+    private static final int VMS = 6;
+    private static final double RATE = 60;
+    private static final double BURST = 60;
+    private static final Account ACCOUNT = new Account("school", Option.some(new Rate(RATE, BURST)));
+    private static final long DELIVERY_MILLIS = 2;
+    private static final int RUN_MILLIS = 20_000;
+
+    private final ManualLoop loop = new ManualLoop();
+    private final List<AccountLimiter> fleet = new ArrayList<>();
+    private final Random random = new Random(3);
+    private double lostPart;
+    private int admitted;
+    private int refused;
+
+    @Test
+    void admitsAnAccountWithinItsRateWhoseCallersAreAllAtOneVm() {
+        start();
+        run(vm -> vm == 0 ? 40.0 : 0.0, RUN_MILLIS);
+        assertTrue(refused <= 0.01 * (admitted + refused), refused + " of " + (admitted + refused) + " refused");
+    }
+
+    @Test
+    void holdsTheRateOfAnAccountThatSendsEightTimesAsMuch() {
+        start();
+        run(vm -> 8 * RATE / VMS, RUN_MILLIS);
+        double seconds = RUN_MILLIS / 1_000.0;
+        assertTrue(admitted <= RATE * seconds + BURST, admitted + " admitted");
+        assertTrue(admitted >= 0.9 * RATE * seconds, admitted + " admitted");
+    }
+
+    @Test
+    void holdsTheRateWhenMessagesAreLost() {
+        lostPart = 0.5;
+        start();
+        run(vm -> vm < 2 ? 4 * RATE : 1.0, RUN_MILLIS);
+        assertTrue(admitted <= RATE * RUN_MILLIS / 1_000 + BURST, admitted + " admitted");
+    }
+
+    @Test
+    void refusesAtOnceWhatTheWholeRateCannotAdmitInTheWait() {
+        start();
+        loop.advance(200);
+        for (int i = 0; i < 500; i++) {
+            admit(0);
+        }
+        int atOnce = refused;
+        assertTrue(atOnce >= 450, atOnce + " refused at once");
+        loop.advance(200);
+        assertEquals(500, admitted + refused);
+    }
+
+    private void start() {
+        Catalog catalog = Catalog.of(1, List.of(), List.of(), Map.of("key", ACCOUNT), 3_000);
+        for (int i = 0; i < VMS; i++) {
+            fleet.add(new AccountLimiter(new Links(i), loop::nowMillis));
+            fleet.get(i).update(catalog, VMS);
+        }
+        tick();
+    }
+
+    private void tick() {
+        fleet.forEach(AccountLimiter::tick);
+        loop.schedule(20, this::tick);
+    }
+
+    private void run(IntToDoubleFunction ratePerSecond, int millis) {
+        for (int i = 0; i < millis; i++) {
+            for (int vm = 0; vm < VMS; vm++) {
+                if (random.nextDouble() < ratePerSecond.applyAsDouble(vm) / 1_000) {
+                    admit(vm);
+                }
+            }
+            loop.advance(1);
+        }
+        loop.advance(1_000);
+    }
+
+    private void admit(int vm) {
+        fleet.get(vm).admit(ACCOUNT, 40, new AccountLimiter.Admission() {
+            @Override
+            public void admitted() {
+                admitted++;
+            }
+
+            @Override
+            public void refused(long retryAfterMillis) {
+                refused++;
+            }
+
+            @Override
+            public boolean wanted() {
+                return true;
+            }
+        });
+    }
+
+    private final class Links implements PeerLinks {
+
+        private final int self;
+
+        Links(int self) {
+            this.self = self;
+        }
+
+        @Override
+        public void send(String vm, PeerMessage message) {
+            if (random.nextDouble() < lostPart) {
+                return;
+            }
+            loop.schedule(DELIVERY_MILLIS, () -> {
+                AccountLimiter to = fleet.get(Integer.parseInt(vm));
+                if (message instanceof TokenNeed need) {
+                    to.needReceived(String.valueOf(self), need);
+                } else if (message instanceof TokenGift gift) {
+                    to.giftReceived(gift);
+                }
+            });
+        }
+
+        @Override
+        public void sendToSome(PeerMessage message) {
+            names().forEach(name -> send(name, message));
+        }
+
+        @Override
+        public Collection<String> names() {
+            Map<String, Integer> others = new HashMap<>();
+            for (int i = 0; i < VMS; i++) {
+                others.put(String.valueOf(i), i);
+            }
+            others.remove(String.valueOf(self));
+            return others.keySet();
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/CallerSessionTests.java
@@ -0,0 +1,218 @@
+package org.hyssopswitch.pool.session;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Statement;
+import org.hyssopswitch.pool.statement.TransactionStatus;
+import org.hyssopswitch.pool.testing.FakeCaller;
+import org.hyssopswitch.pool.testing.TestPool;
+import org.junit.jupiter.api.Test;
+
+class CallerSessionTests {
+
+    private static final int CONNECTIONS = 16;
+    private static final int VMS = 6;
+
+    private final TestPool pool = new TestPool(CONNECTIONS, VMS);
+
+    @Test
+    void refusesAnUnknownDatabaseAndAnUnknownKey() {
+        assertEquals(List.of(ErrorCode.DATABASE_UNKNOWN), pool.caller("nothing").refusals());
+        FakeCaller stranger = new FakeCaller(pool.sessions(), TestPool.LATEST, "wrong");
+        assertEquals(List.of(ErrorCode.KEY_UNKNOWN), stranger.refusals());
+        assertFalse(stranger.greeted());
+    }
+
+    @Test
+    void runsALatestReadAtThePrimaryOnly() {
+        FakeCaller caller = pool.caller(TestPool.LATEST);
+        caller.read("r1");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        assertEquals(List.of("r1"), pool.endpoint("e1").ran());
+    }
+
+    @Test
+    void doesNotRunALatestReadAtAPrimaryThatWasReplaced() {
+        FakeCaller caller = pool.caller(TestPool.LATEST);
+        caller.read("r1");
+        pool.advance(100);
+        pool.endpoint("e1").primary(false);
+        pool.endpoint("e3").primary(true);
+        caller.read("r2");
+        pool.advance(300);
+        assertEquals(List.of("r1"), pool.endpoint("e1").ran());
+        assertEquals(ErrorCode.OVERLOADED, caller.lastError());
+    }
+
+    @Test
+    void servesABoundedReadFromTheReplicaOfItsDataCentre() {
+        FakeCaller caller = pool.caller(TestPool.BOUNDED);
+        caller.read("warm");
+        pool.advance(1_000);
+        caller.read("r1");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        assertEquals(List.of("r1"), pool.endpoint("e2").ran());
+    }
+
+    @Test
+    void readsAtAnEndpointThatHoldsTheSessionsOwnWrite() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.write("w1");
+        pool.advance(600);
+        caller.read("r1");
+        pool.advance(200);
+        assertTrue(caller.last().succeeded());
+        assertEquals(List.of("w1", "r1"), pool.endpoint("e1").ran());
+        pool.endpoint("e2").position(pool.endpoint("e1").position());
+        caller.read("r2");
+        pool.advance(100);
+        assertEquals(List.of("r2"), pool.endpoint("e2").ran());
+    }
+
+    @Test
+    void readsAtThePrimaryWhenNoReplicaHoldsTheFloorAfterAPromotionRolledItBack() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.write("w1");
+        pool.advance(50);
+        pool.endpoint("e1").primary(false);
+        pool.endpoint("e3").primary(true);
+        pool.endpoint("e3").position(new LogPosition(2, 10));
+        pool.endpoint("e1").position(new LogPosition(2, 10));
+        pool.endpoint("e2").position(new LogPosition(2, 10));
+        pool.list(pool.endpoint("e3").entry("group", "dc-e3", 9), VMS);
+        pool.advance(1_000);
+        caller.read("r1");
+        pool.advance(300);
+        assertTrue(caller.last().succeeded());
+    }
+
+    @Test
+    void leavesAWriteInDoubtWhenItsConnectionBreaks() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        pool.endpoint("e1").workMillis(50);
+        caller.write("w1");
+        pool.advance(60);
+        pool.endpoint("e1").breakConnections();
+        pool.advance(500);
+        assertEquals(ErrorCode.IN_DOUBT, caller.lastError());
+        assertTrue(pool.endpoint("e1").ran().size() <= 1);
+    }
+
+    @Test
+    void repeatsAReadElsewhereWhenItsConnectionBreaks() {
+        FakeCaller caller = pool.caller(TestPool.BOUNDED);
+        caller.read("warm");
+        pool.advance(600);
+        pool.endpoint("e2").workMillis(50);
+        caller.read("r1");
+        pool.advance(30);
+        pool.endpoint("e2").breakConnections();
+        pool.advance(200);
+        assertTrue(caller.last().succeeded());
+    }
+
+    @Test
+    void abortsATransactionWhoseConnectionBreaksBeforeItsCommit() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.send("b", new Statement.Begin(false));
+        caller.write("w1");
+        pool.advance(100);
+        assertEquals(TransactionStatus.OPEN, caller.last().status());
+        pool.endpoint("e1").workMillis(50);
+        caller.write("w2");
+        pool.advance(10);
+        pool.endpoint("e1").breakConnections();
+        pool.advance(50);
+        assertEquals(ErrorCode.ABORTED, caller.lastError());
+        assertEquals(TransactionStatus.FAILED, caller.last().status());
+        caller.send("r", new Statement.Rollback());
+        assertEquals(TransactionStatus.IDLE, caller.last().status());
+    }
+
+    @Test
+    void leavesACommitInDoubtWhenItsConnectionBreaks() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.send("b", new Statement.Begin(false));
+        caller.write("w1");
+        pool.advance(100);
+        pool.endpoint("e1").workMillis(50);
+        caller.send("c", new Statement.Commit("COMMIT"));
+        pool.advance(10);
+        pool.endpoint("e1").breakConnections();
+        pool.advance(50);
+        assertEquals(ErrorCode.IN_DOUBT, caller.lastError());
+        assertEquals(TransactionStatus.IDLE, caller.last().status());
+    }
+
+    @Test
+    void refusesACommitOfAFailedTransaction() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.send("b", new Statement.Begin(false));
+        caller.write("w1");
+        pool.advance(100);
+        pool.endpoint("e1").crash();
+        caller.write("w2");
+        pool.advance(50);
+        caller.read("r1");
+        assertEquals(ErrorCode.MALFORMED, caller.lastError());
+        caller.send("c", new Statement.Commit("COMMIT"));
+        assertEquals(ErrorCode.ABORTED, caller.lastError());
+        assertEquals(TransactionStatus.IDLE, caller.last().status());
+    }
+
+    @Test
+    void endsATransactionThatStaysIdle() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.send("b", new Statement.Begin(false));
+        caller.write("w1");
+        pool.advance(3_200);
+        caller.write("w2");
+        assertEquals(ErrorCode.ABORTED, caller.lastError());
+        assertEquals(List.of("w1"), pool.endpoint("e1").ran());
+    }
+
+    @Test
+    void refusesAWithdrawnKeyOfACallerThatIsConnected() {
+        FakeCaller caller = pool.caller(TestPool.OWN);
+        caller.send("b", new Statement.Begin(false));
+        caller.write("w1");
+        pool.advance(100);
+        pool.configure(TestPool.catalog(CONNECTIONS, Map.of("other-key", TestPool.account("large"))), VMS);
+        caller.write("w2");
+        assertEquals(ErrorCode.KEY_UNKNOWN, caller.lastError());
+        caller.send("r", new Statement.Rollback());
+        caller.read("r1");
+        assertEquals(ErrorCode.KEY_UNKNOWN, caller.lastError());
+        assertEquals(List.of("w1"), pool.endpoint("e1").ran());
+    }
+
+    @Test
+    void preparesAStatementWhereItIsExecuted() {
+        FakeCaller caller = pool.caller(TestPool.LATEST);
+        caller.prepareAndExecute("x1");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        caller.send("x2", new Statement.Execute("s2", "a"));
+        assertEquals(ErrorCode.STATEMENT_UNKNOWN, caller.lastError());
+    }
+
+    @Test
+    void answersAtOnceWhenNoPrimaryIsReachable() {
+        FakeCaller caller = pool.caller(TestPool.LATEST);
+        caller.read("r1");
+        pool.advance(100);
+        pool.endpoint("e1").crash();
+        pool.advance(400);
+        caller.read("r2");
+        pool.advance(60);
+        assertEquals(ErrorCode.OVERLOADED, caller.lastError());
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeCaller.java
@@ -0,0 +1,104 @@
+package org.hyssopswitch.pool.testing;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssopswitch.pool.session.CallerLink;
+import org.hyssopswitch.pool.session.CallerSession;
+import org.hyssopswitch.pool.session.Sessions;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Outcome;
+import org.hyssopswitch.pool.statement.PreparedShape;
+import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.pool.statement.Statement;
+
+/** A caller that keeps what it was told. */
+public final class FakeCaller implements CallerLink {
+
+    private final List<Reply> replies = new ArrayList<>();
+    private final List<ErrorCode> refusals = new ArrayList<>();
+    private final CallerSession session;
+    private boolean greeted;
+    private boolean closed;
+
+    /** Connects to a VM. */
+    public FakeCaller(Sessions sessions, String database, String key) {
+        session = sessions.accept(this);
+        session.start(database, key);
+    }
+
+    /** Sends a statement. */
+    public void send(String id, Statement statement) {
+        session.query(id, statement);
+    }
+
+    /** Sends a read. */
+    public void read(String id) {
+        send(id, new Statement.Read("READ a"));
+    }
+
+    /** Sends a write. */
+    public void write(String id) {
+        send(id, new Statement.Write("WRITE a x"));
+    }
+
+    /** Prepares and executes a read. */
+    public void prepareAndExecute(String id) {
+        send(id + "p", new Statement.Prepare("s1", new PreparedShape(false, "q")));
+        send(id, new Statement.Execute("s1", "a"));
+    }
+
+    /** All answers. */
+    public List<Reply> replies() {
+        return List.copyOf(replies);
+    }
+
+    /** The latest answer. */
+    public Reply last() {
+        return replies.get(replies.size() - 1);
+    }
+
+    /** The code of the latest answer. */
+    public ErrorCode lastError() {
+        return ((Outcome.Failed) last().outcome()).code();
+    }
+
+    /** Why the session was refused. */
+    public List<ErrorCode> refusals() {
+        return List.copyOf(refusals);
+    }
+
+    /** Whether the session was opened. */
+    public boolean greeted() {
+        return greeted;
+    }
+
+    /** Whether the VM closed the connection. */
+    public boolean closed() {
+        return closed;
+    }
+
+    /** Breaks the connection. */
+    public void disconnect() {
+        session.disconnected();
+    }
+
+    @Override
+    public void greet() {
+        greeted = true;
+    }
+
+    @Override
+    public void reply(Reply reply) {
+        replies.add(reply);
+    }
+
+    @Override
+    public void refuse(ErrorCode code, String text) {
+        refusals.add(code);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -0,0 +1,167 @@
+package org.hyssopswitch.pool.testing;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssopswitch.core.configuration.Rate;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Consistency;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.catalog.Group;
+import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.endpoint.DatabaseGroup;
+import org.hyssopswitch.pool.endpoint.GroupContext;
+import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.quota.AccountLimiter;
+import org.hyssopswitch.pool.session.RequestLog;
+import org.hyssopswitch.pool.session.Sessions;
+
+/** One VM before a group of three endpoints, all in virtual time. */
+public final class TestPool {
+
+    /** The route whose reads see every commit. */
+    public static final String LATEST = "latest";
+
+    /** The route whose reads may be 1.5 seconds old. */
+    public static final String BOUNDED = "bounded";
+
+    /** The route whose reads see the session's own commits. */
+    public static final String OWN = "own";
+
+    /** A key that is configured. */
+    public static final String KEY = "key";
+
+    private static final String GROUP = "group";
+    private static final long TICK_MILLIS = 20;
+
+    private final ManualLoop loop = new ManualLoop();
+    private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
+    private final List<Endpoint> entries = new ArrayList<>();
+    private final Groups groups;
+    private final Sessions sessions;
+    private final AccountLimiter limiter;
+    private final List<String> shortages = new ArrayList<>();
+    private Catalog catalog;
+
+    /** Starts a VM before endpoints that accept a number of connections each. */
+    public TestPool(int maxConnections, int vms) {
+        for (String id : List.of("e1", "e2", "e3")) {
+            FakeEndpoint endpoint = new FakeEndpoint(loop, id, id.equals("e1"), maxConnections);
+            endpoints.put(id, endpoint);
+            entries.add(endpoint.entry(GROUP, "dc-" + id, entries.size() + 1L));
+        }
+        groups = new Groups(new GroupContext(
+                "dc-e2",
+                (endpoint, account, listener) -> endpoints.get(endpoint.id()).connect(account, listener),
+                row -> Option.none(),
+                (group, endpoint) -> shortages.add(endpoint),
+                loop::nowMillis));
+        limiter = new AccountLimiter(new SilentPeers(), loop::nowMillis);
+        sessions = new Sessions(groups, limiter, new RequestLog(loop::nowMillis), loop::nowMillis);
+        configure(catalog(maxConnections, Map.of(KEY, account("small"), "other-key", account("large"))), vms);
+        tick();
+    }
+
+    /** A caller of a database with the configured key. */
+    public FakeCaller caller(String database) {
+        return new FakeCaller(sessions, database, KEY);
+    }
+
+    /** An endpoint: e1 starts as the primary, e2 is in the VM's data centre. */
+    public FakeEndpoint endpoint(String id) {
+        return endpoints.get(id);
+    }
+
+    /** Lets time pass. */
+    public void advance(long millis) {
+        loop.advance(millis);
+    }
+
+    /** The sessions of the VM. */
+    public Sessions sessions() {
+        return sessions;
+    }
+
+    /** Endpoints for which the VM reported a shortage of connections. */
+    public List<String> shortages() {
+        return shortages;
+    }
+
+    /** The group. */
+    public DatabaseGroup group() {
+        return groups.find(GROUP).get();
+    }
+
+    /** The configuration in force. */
+    public Catalog catalog() {
+        return catalog;
+    }
+
+    /** Puts a configuration in force. */
+    public void configure(Catalog next, int vms) {
+        catalog = next;
+        groups.update(next, entries, vms);
+        limiter.update(next, vms);
+        sessions.configure(next);
+    }
+
+    /** Takes a change of an endpoint's entry. */
+    public void list(Endpoint changed, int vms) {
+        entries.removeIf(entry -> entry.id().equals(changed.id()));
+        entries.add(changed);
+        groups.update(catalog, entries, vms);
+    }
+
+    /** A configuration with the three routes. */
+    public static Catalog catalog(int maxConnections, Map<String, Account> accounts) {
+        return Catalog.of(
+                1,
+                List.of(
+                        route(LATEST, Consistency.LATEST, 0),
+                        route(BOUNDED, Consistency.BOUNDED, 1_500),
+                        route(OWN, Consistency.READ_YOUR_WRITES, 2_500)),
+                List.of(new Group(GROUP, maxConnections, 0)),
+                accounts,
+                3_000);
+    }
+
+    /** An account without a limit that matters. */
+    public static Account account(String name) {
+        return new Account(name, Option.some(new Rate(1e6, 1e6)));
+    }
+
+    private static Route route(String database, Consistency consistency, long stalenessMillis) {
+        return new Route(database, database, GROUP, consistency, stalenessMillis, 1_000, 200, 1, false);
+    }
+
+    private void tick() {
+        limiter.tick();
+        groups.tick();
+        sessions.tick();
+        loop.schedule(TICK_MILLIS, this::tick);
+    }
+
+    /** A fleet of which this VM reaches no other. */
+    private static final class SilentPeers implements PeerLinks {
+
+        @Override
+        public void send(String vm, PeerMessage message) {
+            // No other VM is reachable.
+        }
+
+        @Override
+        public void sendToSome(PeerMessage message) {
+            // No other VM is reachable.
+        }
+
+        @Override
+        public List<String> names() {
+            return List.of();
+        }
+    }
+}
