Find a lost or promoted primary from the endpoints themselves and refuse at once what it cannot run

A restarted VM refused sessions as unknown databases before it had read the configuration (213 operations lost). An address that belonged to another process was asked without pause. Change: a VM without a usable primary asks the endpoints, at most every 150 ms; new sessions wait for the first configuration; a foreign process is asked again after 2 s; silence of 150 ms is questioned, of 300 ms moves waiting work, of 500 ms counts as unreachable; a broken connection is verified by a new one; an endpoint gets no new work 5.5 s after the announcement of its stop; connections over the guaranteed share are given up only while another VM starves.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -38,6 +38,12 @@
     /** Time for which reads keep the positions of the primary up to date, milliseconds. */
     private static final long READ_INTEREST_MILLIS = 3_000;
 
+    /** Time between two ticks from which on this VM counts as having been paused, milliseconds. */
+    private static final long PAUSE_MILLIS = 200;
+
+    /** Period in which endpoints are asked for the primary while none is usable, milliseconds. */
+    private static final long SEARCH_MILLIS = 150;
+
     /** Period in which the use of connections is logged, milliseconds. */
     private static final long REPORT_MILLIS = 10_000;
 
@@ -57,6 +63,9 @@
     private long primaryRevision = -1;
     private long lastReadMillis = Long.MIN_VALUE / 2;
     private long reportedMillis;
+    private long tickedMillis;
+    private long usableMillis;
+    private long searchedMillis;
     private long lastSampleMillis = Long.MIN_VALUE / 2;
 
     DatabaseGroup(Group group, int vms, GroupContext context) {
@@ -68,6 +77,9 @@
         this.shortage = context.shortage();
         this.clock = context.clock();
         this.reportedMillis = clock.getAsLong();
+        this.tickedMillis = reportedMillis;
+        this.usableMillis = reportedMillis;
+        this.searchedMillis = reportedMillis;
     }
 
     /** Name of the group. */
@@ -226,7 +238,16 @@
 
     void tick() {
         long now = clock.getAsLong();
+        if (now - tickedMillis > PAUSE_MILLIS) {
+            pools.values().forEach(EndpointPool::ignoreSilence);
+        }
+        tickedMillis = now;
         List.copyOf(pools.values()).forEach(EndpointPool::tick);
+        if (primaryPool().isDefined()) {
+            usableMillis = now;
+        } else {
+            findPrimary(now);
+        }
         for (Work work : List.copyOf(leaderless.keySet())) {
             if (now >= leaderless.get(work)) {
                 leaderless.remove(work);
@@ -245,6 +266,18 @@
         }
     }
 
+    /** Asks all other endpoints whether they lead: the store may be out of reach, or slower than the endpoints. */
+    private void findPrimary(long now) {
+        if (now - searchedMillis >= SEARCH_MILLIS) {
+            searchedMillis = now;
+            pools.values().stream()
+                    .filter(pool ->
+                            pool.reachable() && !isPrimary(pool.endpoint().id()))
+                    .toList()
+                    .forEach(EndpointPool::samplePrimary);
+        }
+    }
+
     void closeIdle() {
         pools.values().forEach(EndpointPool::closeIdle);
     }
@@ -309,7 +342,7 @@
     }
 
     private Option<EndpointPool> primaryPool() {
-        return primaryId.flatMap(id -> Option.of(pools.get(id))).filter(EndpointPool::reachable);
+        return primaryId.flatMap(id -> Option.of(pools.get(id))).filter(EndpointPool::usable);
     }
 
     private Option<EndpointPool> readPool(Work work) {
@@ -322,9 +355,9 @@
 
     private Stream<EndpointPool> readable(Work work) {
         boolean settled = pools.values().stream()
-                .anyMatch(pool -> pool.reachable() && !pool.endpoint().draining());
+                .anyMatch(pool -> pool.usable() && !pool.endpoint().draining());
         return pools.values().stream()
-                .filter(pool -> pool.reachable()
+                .filter(pool -> pool.usable()
                         && !work.excludes(pool.endpoint().id())
                         && !(settled && pool.endpoint().draining()));
     }
@@ -338,7 +371,11 @@
     }
 
     private void waitForPrimary(Work work) {
-        long until = clock.getAsLong() + work.unservableWaitMillis();
-        leaderless.put(work, Math.min(until, work.assignBeforeMillis()));
+        long until = Math.min(usableMillis + work.unservableWaitMillis(), work.assignBeforeMillis());
+        if (clock.getAsLong() >= until) {
+            work.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
+        } else {
+            leaderless.put(work, until);
+        }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -32,16 +32,31 @@
     private static final long FAILED_PAUSE_MILLIS = 200;
 
     /** Time for which an unused connection beyond the guaranteed share stays open, milliseconds. */
-    private static final long EXTRA_IDLE_MILLIS = 3_000;
+    private static final long EXTRA_IDLE_MILLIS = 10_000;
 
-    /** Time for which the endpoint counts as short of connections after a refusal, milliseconds. */
-    private static final long SHORTAGE_MILLIS = 2_000;
+    /** Time for which no more connections than at the refusal are held, milliseconds. */
+    private static final long CAPPED_MILLIS = 1_000;
+
+    /** Time for which connections beyond the guaranteed share are given up at once for other VMs, milliseconds. */
+    private static final long YIELD_MILLIS = 1_000;
 
     /** Time for which an unused connection stays open, milliseconds; endpoints close idle ones after a minute. */
     private static final long IDLE_MILLIS = 40_000;
 
     /** Silence with an unanswered question after which an endpoint counts as unreachable, milliseconds. */
-    private static final long SILENCE_MILLIS = 700;
+    private static final long SILENCE_MILLIS = 500;
+
+    /** Silence after which the endpoint is asked for a sign of life, milliseconds. */
+    private static final long ASK_AFTER_MILLIS = 150;
+
+    /** Silence after which no new work is given to the endpoint, milliseconds. */
+    private static final long SUSPECT_MILLIS = 300;
+
+    /** Time after which an endpoint whose address belongs to another process is tried again, milliseconds. */
+    private static final long FOREIGN_PAUSE_MILLIS = 2_000;
+
+    /** Time after the announcement of its stop until which an endpoint may get work, milliseconds. */
+    private static final long DRAIN_USE_MILLIS = 5_500;
 
     /** Part of an opening's time that counts against an endpoint: the connection serves later statements too. */
     private static final double OPEN_WEIGHT = 0.3;
@@ -61,7 +76,12 @@
     private Endpoint endpoint;
     private PoolLimits limits;
     private long openAfterMillis;
-    private long shortUntilMillis;
+    private long cappedUntilMillis;
+    private int cap;
+    private long yieldUntilMillis;
+    private long askedMillis;
+    private boolean suspect;
+    private Option<Long> drainingSinceMillis = Option.none();
     private long lastHeardMillis;
     private boolean reachable = true;
     private double serviceMillis = FIRST_SERVICE_MILLIS;
@@ -99,13 +119,20 @@
     void update(Endpoint changed, PoolLimits changedLimits) {
         boolean same = endpoint.sameProcess(changed);
         endpoint = changed;
+        drainingSinceMillis = changed.draining() ? drainingSinceMillis.orElse(Option.some(nowMillis())) : Option.none();
         limits = changedLimits;
         if (!same) {
             List.copyOf(connections).forEach(PooledConnection::discard);
+            openAfterMillis = nowMillis();
             markReachable();
         }
     }
 
+    /** Whether new work may be given to the endpoint. */
+    boolean usable() {
+        return reachable && !suspect && !drainingSinceMillis.exists(since -> nowMillis() - since > DRAIN_USE_MILLIS);
+    }
+
     /** Expected milliseconds until a new statement of an account would be answered. */
     double expectedMillis(Account account) {
         long usable =
@@ -163,7 +190,9 @@
         expire(now);
         checkSilence(now);
         closeUnused(now);
-        probe(now);
+        if (!reachable) {
+            probe(now);
+        }
         pump();
     }
 
@@ -172,7 +201,8 @@
         Option<PooledConnection> idle = Option.ofOptional(
                 connections.stream().filter(PooledConnection::idle).findFirst());
         if (idle.isEmpty()) {
-            if (connections.isEmpty() && nowMillis() >= openAfterMillis) {
+            boolean opening = connections.stream().anyMatch(PooledConnection::opening);
+            if (!opening && nowMillis() >= openAfterMillis) {
                 open(lastAccount, nowMillis());
             }
             return;
@@ -202,9 +232,15 @@
 
     void heard() {
         lastHeardMillis = nowMillis();
+        suspect = false;
         markReachable();
     }
 
+    /** This VM did not run for a while, so the silence of endpoints says nothing. */
+    void ignoreSilence() {
+        lastHeardMillis = nowMillis();
+    }
+
     void openedAfter(long millis) {
         counters.opened(millis);
         openMillis += SMOOTHING * (millis - openMillis);
@@ -218,13 +254,15 @@
         counters.openRefused();
         long now = nowMillis();
         if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
+            heard();
             openAfterMillis = now + FULL_PAUSE_MILLIS;
-            shortUntilMillis = now + SHORTAGE_MILLIS;
+            cappedUntilMillis = now + CAPPED_MILLIS;
+            cap = Math.max(1, connections.size());
             if (connections.size() < limits.guaranteed()) {
                 events.connectionShortage(endpoint.id());
             }
         } else {
-            openAfterMillis = now + FAILED_PAUSE_MILLIS;
+            openAfterMillis = now + FOREIGN_PAUSE_MILLIS;
             markUnreachable("refused_" + code);
         }
     }
@@ -233,6 +271,9 @@
         if (opening) {
             openAfterMillis = nowMillis() + FAILED_PAUSE_MILLIS;
             markUnreachable("connect_failed");
+        } else if (reachable && nowMillis() >= openAfterMillis) {
+            // A crash breaks all connections; a new one tells it from the loss of single ones.
+            probe(nowMillis());
         }
     }
 
@@ -281,9 +322,14 @@
     }
 
     private boolean makeRoom(long now) {
-        boolean full = connections.size() >= limits.endpointMax()
-                || (now < shortUntilMillis && connections.size() >= limits.guaranteed());
-        if (!full) {
+        int most = limits.endpointMax();
+        if (now < cappedUntilMillis) {
+            most = Math.min(most, cap);
+        }
+        if (now < yieldUntilMillis) {
+            most = Math.min(most, limits.guaranteed());
+        }
+        if (connections.size() < most) {
             return true;
         }
         Option<PooledConnection> oldest = Option.ofOptional(connections.stream()
@@ -309,13 +355,13 @@
 
     /** Closes what this VM holds beyond its guaranteed share and does not use. */
     void yieldExtra() {
-        shortUntilMillis = nowMillis() + SHORTAGE_MILLIS;
+        yieldUntilMillis = nowMillis() + YIELD_MILLIS;
     }
 
-    /** Finds out whether an unreachable endpoint has come back. */
+    /** Finds out whether the endpoint accepts connections. */
     private void probe(long now) {
         boolean opening = connections.stream().anyMatch(PooledConnection::opening);
-        if (!reachable && !opening && now >= openAfterMillis) {
+        if (!opening && now >= openAfterMillis) {
             open(lastAccount, now);
         }
     }
@@ -341,8 +387,17 @@
         Option<Long> since = Option.ofOptional(connections.stream()
                 .flatMap(c -> c.waitingSinceMillis().toJavaStream())
                 .min(Comparator.naturalOrder()));
-        boolean silent = since.exists(from -> now - Math.max(from, lastHeardMillis) > SILENCE_MILLIS);
-        if (silent) {
+        long silence = since.map(from -> now - Math.max(from, lastHeardMillis)).getOrElse(0L);
+        if (silence > ASK_AFTER_MILLIS && now - askedMillis > ASK_AFTER_MILLIS) {
+            askedMillis = now;
+            samplePrimary();
+        }
+        if (silence > SUSPECT_MILLIS) {
+            suspect = true;
+            List<Work> moved = drainWaiting();
+            moved.forEach(events::requeue);
+        }
+        if (silence > SILENCE_MILLIS) {
             markUnreachable("silent");
             connections.stream()
                     .filter(c -> c.opening() && now - c.sinceMillis() > SILENCE_MILLIS)
@@ -352,10 +407,10 @@
     }
 
     private void closeUnused(long now) {
-        boolean shortage = now < shortUntilMillis;
+        boolean yielding = now < yieldUntilMillis;
         for (PooledConnection connection : List.copyOf(connections)) {
             boolean extra = connections.size() > limits.guaranteed();
-            long limit = extra ? (shortage ? FULL_PAUSE_MILLIS : EXTRA_IDLE_MILLIS) : IDLE_MILLIS;
+            long limit = extra ? (yielding ? FULL_PAUSE_MILLIS : EXTRA_IDLE_MILLIS) : IDLE_MILLIS;
             if (connection.idle() && now - connection.sinceMillis() > limit) {
                 connection.discard();
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -129,7 +129,6 @@
 
     @Override
     public void refused(ErrorCode code) {
-        pool.heard();
         if (state == State.OPENING) {
             link.close();
             end();
@@ -159,11 +158,8 @@
             return;
         }
         boolean opening = state == State.OPENING;
-        boolean working = !pending.isEmpty();
         end();
-        if (opening || working) {
-            pool.connectionFailed(opening);
-        }
+        pool.connectionFailed(opening);
     }
 
     void start(EndpointLink opened) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionRun.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionRun.java
@@ -42,6 +42,7 @@
     private final Set<String> rejected = new HashSet<>();
     private Option<Endpoint> old = Option.none();
     private boolean planned;
+    private boolean chosen;
     private int orders;
     private boolean ended;
     private long overAtMillis = Long.MAX_VALUE;
@@ -93,17 +94,20 @@
     private void survey() {
         List<Endpoint> candidates = candidates();
         List<Found> found = new ArrayList<>();
-        candidates.forEach(candidate -> group.queryStatus(
-                candidate.id(),
-                STATUS_MILLIS,
-                status -> status.forEach(known -> found.add(new Found(candidate, known)))));
+        candidates.forEach(candidate -> group.queryStatus(candidate.id(), STATUS_MILLIS, status -> {
+            status.forEach(known -> found.add(new Found(candidate, known)));
+            if (found.size() == candidates.size()) {
+                choose(candidates, found);
+            }
+        }));
         loop.schedule(STATUS_MILLIS, () -> choose(candidates, found));
     }
 
     private void choose(List<Endpoint> candidates, List<Found> found) {
-        if (ended) {
+        if (ended || chosen) {
             return;
         }
+        chosen = true;
         Option<Endpoint> best = best(candidates, found);
         if (best.isDefined()) {
             order(best.get());
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
@@ -19,11 +19,14 @@
 public final class PromotionSystem {
 
     /** Time for which a primary must be unusable before it is replaced, milliseconds: restarts of links are shorter. */
-    private static final long CONFIRM_MILLIS = 350;
+    private static final long CONFIRM_MILLIS = 100;
 
     /** Period of reports to the holder of the duty, milliseconds. */
     private static final long REPORT_PERIOD_MILLIS = 250;
 
+    /** Time after the confirmation in which every tick reports, milliseconds, so that a lost report does no harm. */
+    private static final long FIRST_REPORTS_MILLIS = 50;
+
     /** Part of the VMs that must be cut off from a primary before it is replaced. */
     private static final double CUT_OFF_PART = 0.34;
 
@@ -99,7 +102,7 @@
             }
             boolean confirmed = since != null && now - since >= CONFIRM_MILLIS;
             urgent |= confirmed;
-            if (confirmed && report) {
+            if (confirmed && (report || now - since < CONFIRM_MILLIS + FIRST_REPORTS_MILLIS)) {
                 report(group);
             }
             if (duty.held()) {
@@ -154,6 +157,6 @@
         String id = group.primary().map(Endpoint::id).getOrElse("");
         duty.holder()
                 .filter(holder -> !holder.equals(self))
-                .forEach(holder -> peers.send(holder, new PrimaryReport(group.name(), id, false)));
+                .forEach(holder -> peers.send(holder, new PrimaryReport(group.name(), id)));
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/PrimaryReport.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/PrimaryReport.java
@@ -7,6 +7,5 @@
  *
  * @param group the group
  * @param endpoint the endpoint that the VM takes for the primary; empty when it knows none
- * @param draining whether the endpoint is reachable but about to stop
  */
-public record PrimaryReport(String group, String endpoint, boolean draining) implements PeerMessage {}
+public record PrimaryReport(String group, String endpoint) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -24,6 +24,9 @@
 /** The session of one caller: answers its statements one at a time, in order. */
 public final class CallerSession {
 
+    /** Time for which a new session waits for the first configuration, milliseconds: callers give up after 2 s. */
+    private static final long START_WAIT_MILLIS = 1_900;
+
     /** Statements that a caller may send ahead of their answers. */
     private static final int MAX_PIPELINED = 64;
 
@@ -37,6 +40,8 @@
     private final Deque<Request> pipeline = new ArrayDeque<>();
     private String database = "";
     private String key = "";
+    private boolean starting;
+    private long startedMillis;
     private boolean open;
     private boolean closed;
     private boolean busy;
@@ -60,6 +65,17 @@
     public void start(String requestedDatabase, String presentedKey) {
         database = requestedDatabase;
         key = presentedKey;
+        if (sessions.configured()) {
+            open();
+        } else {
+            startedMillis = nowMillis();
+            starting = true;
+        }
+    }
+
+    /** Opens or refuses the session under the configuration in force. */
+    void open() {
+        starting = false;
         Either<ErrorCode, Authorization> authorization = authorize();
         if (open || authorization.isLeft()) {
             ErrorCode code = open ? ErrorCode.MALFORMED : authorization.getLeft();
@@ -112,7 +128,7 @@
 
     /** Whether the caller waits for nothing and is outside a transaction. */
     boolean idle() {
-        return !busy && transaction.isEmpty();
+        return !busy && !starting && transaction.isEmpty();
     }
 
     /** Ends an open transaction whose caller is between two statements. */
@@ -123,6 +139,11 @@
     }
 
     void tick(long nowMillis) {
+        if (starting && sessions.configured()) {
+            open();
+        } else if (starting && nowMillis - startedMillis > START_WAIT_MILLIS) {
+            close();
+        }
         single.forEach(statement -> statement.tick(nowMillis));
         transaction.forEach(open -> open.tick(nowMillis));
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -56,6 +56,7 @@
      */
     public void configure(Catalog next) {
         catalog = next;
+        tick();
     }
 
     /** Number of open sessions. */
@@ -87,6 +88,11 @@
         List.copyOf(open).forEach(session -> session.abortIdleTransaction(cause));
     }
 
+    /** Whether a configuration is in force. */
+    boolean configured() {
+        return catalog.version() >= 0;
+    }
+
     Catalog catalog() {
         return catalog;
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
@@ -52,6 +52,7 @@
     private final Consumer<PeerLinks> connected;
     private final IntConsumer sizeChanged;
     private Option<DefaultPeerLinks> links = Option.none();
+    private List<Stored<VmEntry>> listed = List.of();
     private int size;
     private int lists;
 
@@ -76,6 +77,7 @@
     }
 
     void start() {
+        list();
         readSecret();
     }
 
@@ -122,6 +124,7 @@
                 PeerOptions.Limits.DEFAULT);
         DefaultPeerLinks opened = new DefaultPeerLinks(options, loop, new Random(self.incarnation()), receiver);
         links = Option.some(opened);
+        opened.update(addresses(listed));
         connected.accept(opened);
         register(Option.none());
     }
@@ -129,7 +132,7 @@
     private void register(Option<Long> expected) {
         ports.vms().write(ports.name(), expected, ports.self(), result -> {
             if (result.isRight()) {
-                list();
+                LOG.info("event=vm_registered revision={}", result.get().revision());
             } else if (result.getLeft() instanceof StoreFailure.Conflict) {
                 ports.vms().read(ports.name(), found -> {
                     if (found.isLeft()) {
@@ -147,22 +150,30 @@
     private void list() {
         lists++;
         loop.schedule(lists < START_LISTS ? START_LIST_MILLIS : LIST_MILLIS, this::list);
-        // The first list must include this VM and all that started before it.
-        ports.vms().list(size > 0, result -> result.peek(this::listed)
-                .peekLeft(failure -> LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe())));
+        requestList();
+    }
+
+    private void requestList() {
+        // A VM that starts must know all that started before it.
+        ports.vms().list(size > 0, result -> result.peek(this::listed).peekLeft(failure -> {
+            LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe());
+            if (size == 0) {
+                loop.schedule(RETRY_MILLIS, this::requestList);
+            }
+        }));
     }
 
     private void listed(Listing<VmEntry> listing) {
         List<Stored<VmEntry>> known = listing.objects().stream()
                 .filter(stored -> stored.value().isDefined())
                 .toList();
-        if (known.isEmpty()) {
-            return;
-        }
+        boolean included = known.stream().anyMatch(stored -> stored.name().equals(ports.name()));
+        int count = known.size() + (included ? 0 : 1);
+        listed = known;
         links.forEach(opened -> opened.update(addresses(known)));
-        if (known.size() != size) {
-            LOG.info("event=fleet_size_changed from={} to={} revision={}", size, known.size(), listing.revision());
-            size = known.size();
+        if (count != size) {
+            LOG.info("event=fleet_size_changed from={} to={} revision={}", size, count, listing.revision());
+            size = count;
             sizeChanged.accept(size);
         }
     }
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/LostPrimaryTests.java
@@ -0,0 +1,112 @@
+package org.hyssopswitch.pool.endpoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.testing.FakeCaller;
+import org.hyssopswitch.pool.testing.TestPool;
+import org.junit.jupiter.api.Test;
+
+/** Statements for a primary that is lost, silent, replaced or about to stop. */
+class LostPrimaryTests {
+
+    private static final int CONNECTIONS = 16;
+    private static final int VMS = 6;
+
+    /** A quarter of the routes' latency objective, the longest wait for a refusal that is certain. */
+    private static final long REFUSAL_MILLIS = 50;
+
+    private final TestPool pool = new TestPool(CONNECTIONS, VMS);
+    private final FakeCaller caller = pool.caller(TestPool.LATEST);
+
+    @Test
+    void findsAPromotedPrimaryThatTheStoreDoesNotTellOf() {
+        warmUp();
+        pool.endpoint("e1").crash();
+        pool.advance(1_000);
+        pool.endpoint("e3").primary(true);
+        pool.endpoint("e3").position(new LogPosition(2, 10));
+        pool.advance(300);
+        caller.write("w1");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        assertEquals("e3", pool.group().primary().get().id());
+    }
+
+    @Test
+    void refusesAWriteAtOnceWhileThePrimaryIsKnownToBeLost() {
+        warmUp();
+        pool.endpoint("e1").crash();
+        pool.advance(300);
+        caller.write("w1");
+        pool.advance(1);
+        assertEquals(2, caller.replies().size());
+        assertEquals(ErrorCode.OVERLOADED, caller.lastError());
+    }
+
+    @Test
+    void refusesWritesThatWaitForASilentPrimarySoonAfterItsSilenceIsSeen() {
+        warmUp();
+        pool.endpoint("e1").silent(true);
+        caller.write("w1");
+        pool.advance(400);
+        FakeCaller second = pool.caller(TestPool.LATEST);
+        second.write("w2");
+        pool.advance(REFUSAL_MILLIS);
+        assertEquals(ErrorCode.OVERLOADED, second.lastError());
+        assertFalse(pool.endpoint("e1").ran().contains("w2"));
+    }
+
+    @Test
+    void doesNotTakeAPrimaryForSilentBecauseOneAnswerIsLate() {
+        warmUp();
+        pool.endpoint("e1").workMillis(450);
+        caller.write("w1");
+        pool.advance(520);
+        assertTrue(pool.group().reaches("e1"));
+        assertTrue(caller.last().succeeded());
+    }
+
+    @Test
+    void asksAForeignProcessAtAnEndpointsAddressOnlyNowAndThen() {
+        warmUp();
+        pool.endpoint("e1").foreign(true);
+        pool.endpoint("e1").breakConnections();
+        int before = pool.endpoint("e1").asked();
+        for (int i = 0; i < 50; i++) {
+            caller.write("w" + i);
+            pool.advance(20);
+        }
+        int asked = pool.endpoint("e1").asked() - before;
+        assertTrue(asked <= 3, asked + " connections asked for");
+        assertFalse(pool.group().reaches("e1"));
+    }
+
+    @Test
+    void givesNoNewWorkToAnEndpointThatHasBeenStoppingForLong() {
+        warmUp();
+        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
+        pool.list(
+                new Endpoint(
+                        entry.id(), entry.group(), entry.host(), entry.port(), entry.dataCentre(), true, true, 1, 0, 7),
+                VMS);
+        caller.write("w1");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        pool.advance(6_000);
+        caller.write("w2");
+        pool.advance(300);
+        assertEquals(ErrorCode.OVERLOADED, caller.lastError());
+        assertFalse(pool.endpoint("e1").ran().contains("w2"));
+    }
+
+    private void warmUp() {
+        caller.read("warm");
+        pool.advance(200);
+        assertTrue(caller.last().succeeded());
+    }
+}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -36,6 +36,8 @@
     private long workMillis;
     private LogPosition position = new LogPosition(1, 10);
     private int opened;
+    private int asked;
+    private boolean foreign;
 
     /** Creates an endpoint that is up. */
     public FakeEndpoint(ManualLoop loop, String id, boolean primary, int maxConnections) {
@@ -95,6 +97,16 @@
         silent = mute;
     }
 
+    /** Refuses connections because the address belongs to another process now. */
+    public void foreign(boolean other) {
+        foreign = other;
+    }
+
+    /** Connections that were asked for so far. */
+    public int asked() {
+        return asked;
+    }
+
     /** Ends the process: connections break and none can be opened. */
     public void crash() {
         up = false;
@@ -111,6 +123,7 @@
 
     /** Opens a connection. */
     public EndpointLink connect(Account account, EndpointLink.Listener listener) {
+        asked++;
         Link link = new Link(listener);
         if (silent) {
             return link;
@@ -118,6 +131,8 @@
         loop.schedule(OPEN_MILLIS, () -> {
             if (!up) {
                 listener.closed();
+            } else if (foreign) {
+                listener.refused(ErrorCode.MISROUTED);
             } else if (links.size() >= maxConnections) {
                 listener.refused(ErrorCode.TOO_MANY_CONNECTIONS);
             } else if (!link.closed) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -110,6 +110,13 @@
         sessions.configure(next);
     }
 
+    /** A VM that has not yet read a configuration. */
+    public static TestPool unconfigured() {
+        TestPool pool = new TestPool(16, 6);
+        pool.sessions.configure(Catalog.EMPTY);
+        return pool;
+    }
+
     /** Takes a change of an endpoint's entry. */
     public void list(Endpoint changed, int vms) {
         entries.removeIf(entry -> entry.id().equals(changed.id()));
