--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -193,8 +193,11 @@
     private void send(Reply reply) {
         single = Option.none();
         busy = false;
-        request.forEach(
-                ended -> sessions.log().answered(database, ended.id(), reply, nowMillis() - requestSinceMillis));
+        long took = nowMillis() - requestSinceMillis;
+        request.forEach(ended -> {
+            sessions.log().answered(database, ended.id(), reply, took);
+            sessions.metrics().answered(authorize().toOption(), reply, took);
+        });
         request = Option.none();
         if (!closed) {
             link.reply(reply);
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestMetrics.java
@@ -0,0 +1,40 @@
+package org.hyssopswitch.pool.session;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.UniformReservoir;
+import io.vavr.control.Option;
+import org.hyssopswitch.pool.catalog.Route;
+import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.pool.statement.Reply;
+
+/** Counts answers by outcome and records latencies per client account and consistency of the route. */
+public final class RequestMetrics {
+
+    /** Values kept per histogram; enough for a 99th percentile and small enough for hundreds of accounts. */
+    private static final int RESERVOIR_VALUES = 256;
+
+    private final MetricRegistry registry;
+
+    /**
+     * Creates the metrics.
+     *
+     * @param registry where they are registered
+     */
+    public RequestMetrics(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    void answered(Option<Authorization> authorization, Reply reply, long tookMillis) {
+        String outcome = reply.error().map(ErrorCode::name).getOrElse("OK");
+        registry.counter("requests." + outcome).inc();
+        authorization.forEach(known -> latency(known).update(tookMillis));
+    }
+
+    private Histogram latency(Authorization known) {
+        Route route = known.route();
+        return registry.histogram(
+                "latency_ms." + known.account().name() + "." + route.consistency(),
+                () -> new Histogram(new UniformReservoir(RESERVOIR_VALUES)));
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -19,6 +19,7 @@
     private final Groups groups;
     private final AccountLimiter limiter;
     private final RequestLog log;
+    private final RequestMetrics metrics;
     private final LongSupplier clock;
     private final Set<CallerSession> open = new LinkedHashSet<>();
     private Catalog catalog = Catalog.EMPTY;
@@ -29,12 +30,14 @@
      * @param groups the database groups
      * @param limiter limits of client accounts
      * @param log log lines of requests
+     * @param metrics counters and latencies of requests
      * @param clock milliseconds of the monotonic clock
      */
-    public Sessions(Groups groups, AccountLimiter limiter, RequestLog log, LongSupplier clock) {
+    public Sessions(Groups groups, AccountLimiter limiter, RequestLog log, RequestMetrics metrics, LongSupplier clock) {
         this.groups = groups;
         this.limiter = limiter;
         this.log = log;
+        this.metrics = metrics;
         this.clock = clock;
     }
 
@@ -101,6 +104,10 @@
         return limiter;
     }
 
+    RequestMetrics metrics() {
+        return metrics;
+    }
+
     RequestLog log() {
         return log;
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.vm;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +20,7 @@
 import org.hyssopswitch.pool.peer.TokenNeed;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.session.RequestLog;
+import org.hyssopswitch.pool.session.RequestMetrics;
 import org.hyssopswitch.pool.session.Sessions;
 import org.hyssopswitch.pool.store.Listing;
 import org.hyssopswitch.pool.store.TableWatcher;
@@ -33,6 +35,7 @@
     private static final Logger LOG = LogManager.getLogger(PoolVm.class);
 
     private final VmPorts ports;
+    private final MetricRegistry metrics = new MetricRegistry();
     private final DecisionLoop loop;
     private final EndpointDirectory directory;
     private final Groups groups;
@@ -66,7 +69,11 @@
         this.promotions = new PromotionSystem(
                 ports.name(), groups, ports.authority(), ports.duties(), loop, ports.random(), peers);
         this.fleet = new Fleet(ports, this::received, this::connected, this::sizeChanged);
-        this.sessions = new Sessions(groups, limiter, new RequestLog(loop::nowMillis), loop::nowMillis);
+        this.sessions = new Sessions(
+                groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
+        metrics.gauge("sessions", () -> sessions::size);
+        metrics.gauge("configuration_version", () -> () -> catalog.version());
+        metrics.gauge("fleet_vms", () -> () -> vms);
     }
 
     /** Starts to follow the store. */
@@ -77,6 +84,11 @@
         loop.schedule(TICK_MILLIS, this::tick);
     }
 
+    /** Counters and latencies; may be read on any thread. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
     /** The sessions of callers. */
     public Sessions sessions() {
         return sessions;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.testing;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,6 +20,7 @@
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.session.RequestLog;
+import org.hyssopswitch.pool.session.RequestMetrics;
 import org.hyssopswitch.pool.session.Sessions;
 
 /** One VM before a group of three endpoints, all in virtual time. */
@@ -62,7 +64,12 @@
                 (group, endpoint) -> shortages.add(endpoint),
                 loop::nowMillis));
         limiter = new AccountLimiter(new SilentPeers(), loop::nowMillis);
-        sessions = new Sessions(groups, limiter, new RequestLog(loop::nowMillis), loop::nowMillis);
+        sessions = new Sessions(
+                groups,
+                limiter,
+                new RequestLog(loop::nowMillis),
+                new RequestMetrics(new MetricRegistry()),
+                loop::nowMillis);
         configure(catalog(maxConnections, Map.of(KEY, account("small"), "other-key", account("large"))), vms);
         tick();
     }
