Keep to a share of an endpoint's connections while they are unused, and open ahead of the first statement

Change: a VM keeps its share, or at a replica of its own data centre a part of half of them, gives up an unused one of another account first, and opens more only while all are lent. A connection is opened when a caller opens a session or a transaction, a round trip before its first statement. Log lines of failed requests carry account and configuration version, and repeats are logged. A test with lost answers found that a holder of the promotion duty could use one fencing token twice: a late answer of the store put back an older epoch. The answer is now ignored.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -166,6 +166,17 @@
         Option.of(pools.get(endpointId)).forEach(EndpointPool::yieldExtra);
     }
 
+    /**
+     * Opens a connection ahead of work that is about to come, where that work would be placed now.
+     *
+     * @param work the work; it is not submitted
+     * @param evict whether an unused connection of another account may be closed for it
+     */
+    public void prefetch(Work work, boolean evict) {
+        Option<EndpointPool> pool = work.primaryOnly() ? primaryPool() : readPool(work);
+        pool.forEach(placed -> placed.prefetch(work.account(), evict));
+    }
+
     @Override
     public void connectionShortage(String endpointId) {
         shortage.accept(name(), endpointId);
@@ -222,12 +233,13 @@
     void update(Group declared, int vmCount, Collection<Endpoint> listed) {
         group = declared;
         vms = vmCount;
-        PoolLimits limits = PoolLimits.of(group.maxConnections(), vms);
         Map<String, Endpoint> byId = new HashMap<>();
         listed.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
-        byId.values().forEach(endpoint -> pools.computeIfAbsent(
-                        endpoint.id(), id -> new EndpointPool(endpoint, limits, connector, this, clock))
-                .update(endpoint, limits));
+        byId.values().forEach(endpoint -> {
+            PoolLimits limits = limits(endpoint, byId.values());
+            pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, connector, this, clock))
+                    .update(endpoint, limits);
+        });
         for (String id : List.copyOf(pools.keySet())) {
             if (!byId.containsKey(id)) {
                 removeEndpoint(id);
@@ -282,6 +294,13 @@
         pools.values().forEach(EndpointPool::closeIdle);
     }
 
+    private PoolLimits limits(Endpoint endpoint, Collection<Endpoint> all) {
+        long dataCentres = all.stream().map(Endpoint::dataCentre).distinct().count();
+        boolean local = !endpoint.primary() && endpoint.dataCentre().equals(dataCentre);
+        int localVms = local ? (int) Math.max(1, (vms + dataCentres - 1) / dataCentres) : 0;
+        return PoolLimits.of(group.maxConnections(), vms, localVms);
+    }
+
     private void control(
             String endpointId, EndpointCommand command, long limitMillis, Consumer<Option<ReplicaStatus>> done) {
         Option.of(pools.get(endpointId))
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -20,8 +20,9 @@
 /**
  * The connections of this VM to one endpoint and the work that waits for them.
  *
- * <p>A connection serves one client account. The VM may always hold its guaranteed share; beyond it, connections are
- * opened while the endpoint accepts them and closed soon after their use, so that other VMs find room.
+ * <p>A connection serves one client account. The VM keeps a number of connections and gives an unused one up for another
+ * account first; beyond that number, connections are opened only while all are lent, and closed soon after their use, so
+ * that other VMs find room.
  */
 final class EndpointPool {
 
@@ -31,8 +32,8 @@
     /** Pause in opening after a connection could not be opened, milliseconds. */
     private static final long FAILED_PAUSE_MILLIS = 200;
 
-    /** Time for which an unused connection beyond the guaranteed share stays open, milliseconds. */
-    private static final long EXTRA_IDLE_MILLIS = 10_000;
+    /** Time for which an unused connection beyond those that are kept stays open, milliseconds. */
+    private static final long EXTRA_IDLE_MILLIS = 100;
 
     /** Time for which no more connections than at the refusal are held, milliseconds. */
     private static final long CAPPED_MILLIS = 1_000;
@@ -155,6 +156,16 @@
         pump();
     }
 
+    /** Opens a connection that work of an account is about to need, unless one is at hand or on its way. */
+    void prefetch(Account account, boolean evict) {
+        long now = nowMillis();
+        boolean ready = connections.stream()
+                .anyMatch(c -> (c.idle() || c.opening()) && c.account().equals(account));
+        if (!ready && now >= openAfterMillis && (evict ? makeRoom(now) : connections.size() < kept(now))) {
+            open(account, now);
+        }
+    }
+
     /** Takes back all work that waits. */
     List<Work> drainWaiting() {
         List<Work> result = List.copyOf(waiting);
@@ -321,23 +332,26 @@
         }
     }
 
+    /** Connections that this VM keeps; more are opened only while all of them are lent. */
+    private int kept(long now) {
+        return now < yieldUntilMillis ? limits.guaranteed() : limits.kept();
+    }
+
+    /** Makes room for one more connection, if need be by closing an unused one of another account. */
     private boolean makeRoom(long now) {
-        int most = limits.endpointMax();
-        if (now < cappedUntilMillis) {
-            most = Math.min(most, cap);
-        }
-        if (now < yieldUntilMillis) {
-            most = Math.min(most, limits.guaranteed());
-        }
-        if (connections.size() < most) {
+        if (connections.size() < kept(now)) {
             return true;
         }
         Option<PooledConnection> oldest = Option.ofOptional(connections.stream()
                 .filter(PooledConnection::idle)
                 .min(Comparator.comparingLong(PooledConnection::sinceMillis)));
-        oldest.forEach(PooledConnection::discard);
-        oldest.forEach(closed -> counters.evicted());
-        return oldest.isDefined();
+        if (oldest.isDefined()) {
+            oldest.get().discard();
+            counters.evicted();
+            return true;
+        }
+        int most = now < cappedUntilMillis ? cap : limits.endpointMax();
+        return connections.size() < most;
     }
 
     /** Sends a command of the VM's own; the answer is missing when no connection is available in time. */
@@ -407,10 +421,9 @@
     }
 
     private void closeUnused(long now) {
-        boolean yielding = now < yieldUntilMillis;
         for (PooledConnection connection : List.copyOf(connections)) {
-            boolean extra = connections.size() > limits.guaranteed();
-            long limit = extra ? (yielding ? FULL_PAUSE_MILLIS : EXTRA_IDLE_MILLIS) : IDLE_MILLIS;
+            boolean extra = connections.size() > kept(now);
+            long limit = extra ? EXTRA_IDLE_MILLIS : IDLE_MILLIS;
             if (connection.idle() && now - connection.sinceMillis() > limit) {
                 connection.discard();
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
@@ -5,18 +5,31 @@
  *
  * @param endpointMax connections that the endpoint accepts from all VMs, 1 or more
  * @param guaranteed connections that this VM may hold at any time, 1 or more
+ * @param kept connections that this VM keeps while no other VM lacks any, at least the guaranteed ones
  */
-record PoolLimits(int endpointMax, int guaranteed) {
+record PoolLimits(int endpointMax, int guaranteed, int kept) {
+
+    /** Part of the connections of a replica that the VMs of its own data centre keep; they read there most. */
+    private static final double LOCAL_PART = 0.5;
 
     PoolLimits {
-        if (endpointMax < 1 || guaranteed < 1) {
-            throw new IllegalArgumentException("an endpoint must accept 1 connection or more and grant this VM 1 or"
-                    + " more, but the limits are " + endpointMax + " and " + guaranteed);
+        if (endpointMax < 1 || guaranteed < 1 || kept < guaranteed) {
+            throw new IllegalArgumentException("an endpoint must accept 1 connection or more, grant this VM 1 or more,"
+                    + " and this VM must keep no fewer, but the limits are " + endpointMax + ", " + guaranteed + " and "
+                    + kept);
         }
     }
 
-    /** Splits the endpoint's connections evenly over the VMs. */
-    static PoolLimits of(int endpointMax, int vms) {
-        return new PoolLimits(endpointMax, Math.max(1, endpointMax / Math.max(1, vms)));
+    /**
+     * Splits an endpoint's connections over the VMs.
+     *
+     * @param endpointMax connections that the endpoint accepts
+     * @param vms number of VMs
+     * @param localVms number of VMs in the endpoint's data centre, if it is a replica in this VM's; 0 otherwise
+     */
+    static PoolLimits of(int endpointMax, int vms, int localVms) {
+        int guaranteed = Math.max(1, endpointMax / Math.max(1, vms));
+        int local = localVms > 0 ? (int) (endpointMax * LOCAL_PART / localVms) : 0;
+        return new PoolLimits(endpointMax, guaranteed, Math.max(guaranteed, local));
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyKeeper.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyKeeper.java
@@ -48,6 +48,7 @@
     private PeerLinks peers;
     private Option<Stored<DutyRecord>> record = Option.none();
     private boolean confirmed;
+    private long counted;
     private boolean calling;
     private long heardMillis;
     private long pingedMillis;
@@ -100,9 +101,13 @@
             return;
         }
         Stored<DutyRecord> current = record.get();
-        DutyRecord next = current.value().get().nextPromotion();
+        counted = Math.max(counted, current.value().get().promotions()) + 1;
+        DutyRecord next = current.value().get().withPromotions(counted);
         table.write(RECORD, Option.some(current.revision()), next, result -> {
-            if (result.isRight()) {
+            if (!held() || epoch() != next.epoch()) {
+                // The duty was lost, or taken again under a new epoch, while the call was on its way.
+                done.accept(Option.none());
+            } else if (result.isRight()) {
                 record = Option.some(result.get());
                 done.accept(Option.some(next));
             } else if (result.getLeft() instanceof StoreFailure.Conflict) {
@@ -125,7 +130,7 @@
     }
 
     void pingReceived(String vm, DutyPing ping) {
-        long epoch = record.flatMap(Stored::value).map(DutyRecord::epoch).getOrElse(-1L);
+        long epoch = epoch();
         if (ping.epoch() > epoch && !calling) {
             forget();
         }
@@ -133,7 +138,7 @@
     }
 
     void pongReceived(String vm, DutyPong pong) {
-        long epoch = record.flatMap(Stored::value).map(DutyRecord::epoch).getOrElse(-1L);
+        long epoch = epoch();
         if (pong.epoch() > epoch || !pong.holder().equals(vm)) {
             forget();
         } else if (holder().contains(vm)) {
@@ -141,12 +146,15 @@
         }
     }
 
+    /** The latest epoch that this VM knows; -1 while it knows none. */
+    private long epoch() {
+        return record.flatMap(Stored::value).map(DutyRecord::epoch).getOrElse(-1L);
+    }
+
     private void watchHolder(long now, boolean urgent) {
         if (now - pingedMillis >= PING_PERIOD_MILLIS) {
             pingedMillis = now;
-            peers.send(
-                    holder().get(),
-                    new DutyPing(record.flatMap(Stored::value).get().epoch()));
+            peers.send(holder().get(), new DutyPing(epoch()));
         }
         if (now - heardMillis > (urgent ? URGENT_SILENCE_MILLIS : SILENCE_MILLIS)) {
             calling = true;
@@ -192,6 +200,7 @@
             if (result.isRight()) {
                 record = Option.some(result.get());
                 confirmed = true;
+                counted = 0;
                 LOG.info(
                         "event=duty_taken epoch={} revision={}",
                         next.epoch(),
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyRecord.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyRecord.java
@@ -17,8 +17,8 @@
         return epoch * TOKENS_PER_EPOCH + promotions;
     }
 
-    /** The record after one more promotion. */
-    DutyRecord nextPromotion() {
-        return new DutyRecord(holder, epoch, promotions + 1);
+    /** The record after a number of promotions. */
+    DutyRecord withPromotions(long count) {
+        return new DutyRecord(holder, epoch, count);
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -89,6 +89,7 @@
             return;
         }
         open = true;
+        sessions.prefetch(new Transaction(this, authorization.get(), true), false);
         link.greet();
     }
 
@@ -176,6 +177,11 @@
         sessions.submit(operation);
     }
 
+    /** Logs that the current statement is tried again. */
+    void retried(String endpointId, ErrorCode code, int attempt) {
+        request.forEach(current -> sessions.log().retried(current.id(), endpointId, code, attempt));
+    }
+
     void transactionOver() {
         transaction = Option.none();
     }
@@ -195,8 +201,19 @@
         busy = false;
         long took = nowMillis() - requestSinceMillis;
         request.forEach(ended -> {
-            sessions.log().answered(database, ended.id(), reply, took);
-            sessions.metrics().answered(authorize().toOption(), reply, took);
+            Option<Authorization> known = authorize().toOption();
+            String account =
+                    known.map(authorization -> authorization.account().name()).getOrElse("unknown");
+            sessions.log()
+                    .answered(
+                            new RequestLog.RequestContext(
+                                    ended.id(),
+                                    database,
+                                    account,
+                                    sessions.catalog().version()),
+                            reply,
+                            took);
+            sessions.metrics().answered(known, reply, took);
         });
         request = Option.none();
         if (!closed) {
@@ -279,6 +296,7 @@
         }
         admit(authorization -> {
             transaction = Option.some(new Transaction(this, authorization, begin.readOnly()));
+            sessions.prefetch(transaction.get(), true);
             succeed();
         });
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestLog.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestLog.java
@@ -37,12 +37,15 @@
         }
     }
 
-    void answered(String database, String id, Reply reply, long tookMillis) {
+    void answered(RequestContext context, Reply reply, long tookMillis) {
         if (reply.outcome() instanceof Outcome.Failed failed && permitted()) {
             LOG.info(
-                    "event=request_failed request={} database={} code={} took_ms={} suppressed={} cause=\"{}\"",
-                    id,
-                    database,
+                    "event=request_failed request={} database={} account={} configuration={} code={} took_ms={}"
+                            + " suppressed={} cause=\"{}\"",
+                    context.request(),
+                    context.database(),
+                    context.account(),
+                    context.configuration(),
                     failed.code(),
                     tookMillis,
                     suppressed,
@@ -51,6 +54,17 @@
         }
     }
 
+    void retried(String request, String endpoint, ErrorCode code, int attempt) {
+        if (permitted()) {
+            LOG.info(
+                    "event=request_retried request={} endpoint={} code={} attempt={}",
+                    request,
+                    endpoint,
+                    code,
+                    attempt);
+        }
+    }
+
     private boolean permitted() {
         long now = clock.getAsLong();
         if (now - secondStartMillis >= SECOND_MILLIS) {
@@ -64,4 +78,14 @@
         }
         return permitted;
     }
+
+    /**
+     * What a line about a request says besides its outcome.
+     *
+     * @param request the caller's identifier
+     * @param database the database name
+     * @param account the client account
+     * @param configuration version of the configuration in force
+     */
+    record RequestContext(String request, String database, String account, long configuration) {}
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -126,6 +126,10 @@
                 .onEmpty(() -> operation.refused(ErrorCode.OVERLOADED, "the group is not configured"));
     }
 
+    void prefetch(Operation operation, boolean evict) {
+        groups.find(operation.route().group()).forEach(group -> group.prefetch(operation, evict));
+    }
+
     void remove(CallerSession session) {
         open.remove(session);
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/SingleStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/SingleStatement.java
@@ -65,11 +65,14 @@
             return;
         }
         if (nowMillis - startedMillis >= route().timeoutMillis()) {
-            running.forEach(PooledConnection::discard);
+            boolean sentWrite = statement.write() && running.isDefined();
+            Option<PooledConnection> broken = running;
             if (!done) {
-                boolean sentWrite = statement.write() && running.isDefined();
-                fail(sentWrite ? ErrorCode.TIMEOUT : ErrorCode.OVERLOADED, "no answer within the route's timeout");
+                fail(
+                        sentWrite ? ErrorCode.TIMEOUT : ErrorCode.OVERLOADED,
+                        "no answer from endpoint " + endpointId() + " within the route's timeout");
             }
+            broken.forEach(PooledConnection::discard);
         } else if (running.isDefined() && !statement.write() && !hedged) {
             hedge(nowMillis);
         }
@@ -94,14 +97,20 @@
         if (done) {
             return;
         }
+        String tried = endpointId();
         running = Option.none();
         if (late || attempts >= MAX_ATTEMPTS) {
             fail(code, reason);
         } else {
+            session().retried(tried, code, attempts);
             submit();
         }
     }
 
+    private String endpointId() {
+        return running.map(PooledConnection::endpointId).getOrElse("none");
+    }
+
     private void fail(ErrorCode code, String reason) {
         if (!done) {
             done = true;
@@ -176,7 +185,10 @@
         @Override
         public void lost() {
             if (statement.write()) {
-                fail(ErrorCode.IN_DOUBT, "the connection to the endpoint broke after the statement was sent");
+                fail(
+                        ErrorCode.IN_DOUBT,
+                        "the connection to endpoint " + connection.endpointId()
+                                + " broke after the statement was sent");
             } else {
                 exclude(connection.endpointId());
                 retryOrFail(ErrorCode.OVERLOADED, "the connection to the endpoint broke");
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Transaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Transaction.java
@@ -102,7 +102,9 @@
         }
         if (current.isDefined() && nowMillis - statementSinceMillis >= route().timeoutMillis()) {
             boolean unknown = committing && connection.isDefined() && wrote;
-            end(unknown ? ErrorCode.TIMEOUT : ErrorCode.ABORTED, "no answer within the route's timeout");
+            end(
+                    unknown ? ErrorCode.TIMEOUT : ErrorCode.ABORTED,
+                    "no answer from endpoint " + endpointId() + " within the route's timeout");
         } else if (current.isEmpty()
                 && connection.isDefined()
                 && nowMillis - idleSinceMillis >= session().transactionIdleMillis()) {
@@ -138,12 +140,18 @@
         session().finished(new Outcome.Failed(code, reason), Option.none());
     }
 
+    private String endpointId() {
+        return connection.map(PooledConnection::endpointId).getOrElse("none");
+    }
+
     private void startAgain(ErrorCode code, String reason) {
+        String tried = endpointId();
         connection = Option.none();
         boolean late = session().nowMillis() - statementSinceMillis >= route().timeoutMillis();
         if (late || attempts >= MAX_ATTEMPTS) {
             end(ErrorCode.ABORTED, reason + " (" + code + ")");
         } else {
+            session().retried(tried, code, attempts);
             submit();
         }
     }
@@ -275,7 +283,9 @@
         public void lost() {
             if (!ended) {
                 boolean unknown = committing && wrote;
-                end(unknown ? ErrorCode.IN_DOUBT : ErrorCode.ABORTED, "the connection to the endpoint broke");
+                end(
+                        unknown ? ErrorCode.IN_DOUBT : ErrorCode.ABORTED,
+                        "the connection to endpoint " + on.endpointId() + " broke");
             }
         }
     }
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionSystemTests.java
@@ -0,0 +1,146 @@
+package org.hyssopswitch.pool.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.PrimaryReport;
+import org.hyssopswitch.pool.testing.FakeCaller;
+import org.hyssopswitch.pool.testing.FakePeers;
+import org.hyssopswitch.pool.testing.FakeTable;
+import org.hyssopswitch.pool.testing.TestPool;
+import org.junit.jupiter.api.Test;
+
+/** A VM that holds the promotion duty, before a group whose primary fails or leaves. */
+class PromotionSystemTests {
+
+    private static final int VMS = 6;
+    private static final long TICK_MILLIS = 20;
+
+    private final TestPool pool = new TestPool(16, VMS);
+    private final FakePeers network = new FakePeers(pool.loop());
+    private final List<PromotionAuthority.Order> orders = new ArrayList<>();
+    private final FakeCaller caller = pool.caller(TestPool.LATEST);
+    private PromotionAuthority.Answer answer = PromotionAuthority.Answer.ACCEPTED;
+    private PromotionSystem system;
+
+    @Test
+    void promotesTheMostAdvancedReplicaOfACrashedPrimary() {
+        start();
+        pool.endpoint("e2").position(new LogPosition(1, 12));
+        pool.endpoint("e3").position(new LogPosition(1, 15));
+        pool.endpoint("e1").crash();
+        reportFromOthers(1);
+        pool.advance(500);
+        assertEquals(List.of("e3"), promoted());
+    }
+
+    @Test
+    void leavesAPrimaryThatOnlyThisVmCannotReach() {
+        start();
+        pool.endpoint("e1").crash();
+        pool.advance(3_000);
+        assertEquals(List.of(), promoted());
+    }
+
+    @Test
+    void replacesAPrimaryThatAThirdOfTheOtherVmsCannotReach() {
+        start();
+        reportFromOthers(3);
+        pool.advance(200);
+        assertEquals(1, promoted().size());
+    }
+
+    @Test
+    void waitsForAllReplicasOfAGroupWithSynchronousCommits() {
+        start();
+        pool.configure(TestPool.catalog(16, 1, Map.of(TestPool.KEY, TestPool.account("small"))), VMS);
+        pool.endpoint("e2").crash();
+        pool.endpoint("e1").crash();
+        for (int i = 0; i < 10; i++) {
+            reportFromOthers(2);
+            pool.advance(300);
+        }
+        assertEquals(List.of(), promoted());
+    }
+
+    @Test
+    void handsOverFromAPrimaryThatIsAboutToStop() {
+        start();
+        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
+        pool.list(
+                new Endpoint(
+                        entry.id(), entry.group(), entry.host(), entry.port(), entry.dataCentre(), true, true, 1, 0, 7),
+                VMS);
+        pool.advance(500);
+        assertEquals(1, promoted().size());
+        assertFalse(pool.endpoint("e1").leads());
+    }
+
+    @Test
+    void repeatsAnOrderWithoutAnAnswerUnderTheSameToken() {
+        start();
+        answer = PromotionAuthority.Answer.UNKNOWN;
+        pool.endpoint("e1").crash();
+        reportFromOthers(2);
+        pool.advance(700);
+        assertTrue(orders.size() >= 2, orders.toString());
+        assertEquals(1, orders.stream().distinct().count());
+    }
+
+    @Test
+    void raisesTheTokenWithEachPromotion() {
+        start();
+        answer = PromotionAuthority.Answer.REJECTED;
+        pool.endpoint("e1").crash();
+        for (int i = 0; i < 20; i++) {
+            reportFromOthers(2);
+            pool.advance(300);
+        }
+        List<Long> tokens = orders.stream().map(PromotionAuthority.Order::token).toList();
+        assertTrue(tokens.size() >= 2, tokens.toString());
+        assertEquals(tokens.stream().distinct().sorted().toList(), tokens);
+    }
+
+    private void start() {
+        PeerLinks links = network.join("vm-1", (from, message) -> system.received(from, message));
+        system = new PromotionSystem(
+                "vm-1",
+                pool.groups(),
+                (order, done) -> {
+                    orders.add(order);
+                    pool.loop().schedule(5, () -> done.accept(answer));
+                },
+                new FakeTable<>(pool.loop()),
+                pool.loop(),
+                new Random(1),
+                links);
+        system.fleetSize(VMS);
+        tick();
+        caller.read("warm");
+        pool.advance(1_500);
+        assertTrue(caller.last().succeeded());
+    }
+
+    private void tick() {
+        system.tick();
+        pool.loop().schedule(TICK_MILLIS, this::tick);
+    }
+
+    private void reportFromOthers(int vms) {
+        for (int i = 0; i < vms; i++) {
+            system.received("vm-" + (i + 2), new PrimaryReport("group", "e1"));
+        }
+    }
+
+    private List<String> promoted() {
+        return orders.stream().map(PromotionAuthority.Order::endpoint).toList();
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
@@ -0,0 +1,91 @@
+package org.hyssopswitch.pool.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.hyssopswitch.pool.testing.FakeTable;
+import org.hyssopswitch.pool.testing.ManualLoop;
+import org.junit.jupiter.api.Test;
+
+class TableWatcherTests {
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeTable<String> table = new FakeTable<>(loop);
+    private final List<String> seen = new ArrayList<>();
+
+    @Test
+    void tellsOfChangesAndRemovalsSoonAfterThem() {
+        table.put("a", "1");
+        start();
+        loop.advance(50);
+        table.put("a", "2");
+        loop.advance(50);
+        table.remove("a");
+        loop.advance(50);
+        assertEquals(List.of("list a=1", "a=2", "a removed"), seen);
+    }
+
+    @Test
+    void listsAgainWhenTheHistoryIsGone() {
+        start();
+        loop.advance(50);
+        table.put("a", "1");
+        table.dropHistory();
+        loop.advance(2_500);
+        assertEquals("list a=1", seen.get(seen.size() - 1));
+    }
+
+    @Test
+    void tellsOfTheStoresReturnBeforeWhatChangedMeanwhile() {
+        start();
+        loop.advance(50);
+        table.away(true);
+        loop.advance(5_000);
+        table.put("a", "1");
+        table.away(false);
+        loop.advance(1_000);
+        assertEquals(List.of("list", "regained", "a=1"), seen);
+    }
+
+    @Test
+    void callsRarelyWhileNothingChangesOrTheStoreIsAway() {
+        start();
+        loop.advance(20_000);
+        assertTrue(table.calls() <= 12, table.calls() + " calls in 20 s");
+        table.away(true);
+        loop.advance(20_000);
+        assertTrue(table.calls() <= 70, table.calls() + " calls in 40 s");
+    }
+
+    private void start() {
+        new TableWatcher<>("test", table, new Recorder(), loop, new Random(1)).start();
+    }
+
+    private final class Recorder implements TableWatcher.Listener<String> {
+
+        @Override
+        public void listed(Listing<String> all) {
+            StringBuilder line = new StringBuilder("list");
+            all.objects().forEach(one -> line.append(' ')
+                    .append(one.name())
+                    .append('=')
+                    .append(one.value().get()));
+            seen.add(line.toString());
+        }
+
+        @Override
+        public void changed(Listing<String> changes) {
+            changes.objects()
+                    .forEach(one -> seen.add(
+                            one.value().map(value -> one.name() + "=" + value).getOrElse(one.name() + " removed")));
+        }
+
+        @Override
+        public void regained() {
+            seen.add("regained");
+        }
+    }
+}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -9,6 +9,7 @@
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointLink;
+import org.hyssopswitch.pool.endpoint.ReplicaStatus;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Outcome;
@@ -38,6 +39,7 @@
     private int opened;
     private int asked;
     private boolean foreign;
+    private boolean full;
 
     /** Creates an endpoint that is up. */
     public FakeEndpoint(ManualLoop loop, String id, boolean primary, int maxConnections) {
@@ -72,6 +74,19 @@
         return position;
     }
 
+    /** Reads the row in which a fake endpoint answers a query of its status. */
+    public static Option<ReplicaStatus> decode(String row) {
+        String[] fields = row.split(" ", -1);
+        long term = Long.parseLong(fields[1]);
+        return Option.some(new ReplicaStatus(
+                Boolean.parseBoolean(fields[0]), term, new LogPosition(term, Long.parseLong(fields[2]))));
+    }
+
+    /** Whether it is the primary. */
+    public boolean leads() {
+        return primary;
+    }
+
     /** Moves the log. */
     public void position(LogPosition next) {
         position = next;
@@ -97,6 +112,11 @@
         silent = mute;
     }
 
+    /** Refuses connections as if other VMs held all of them. */
+    public void refuseConnections(boolean refuses) {
+        full = refuses;
+    }
+
     /** Refuses connections because the address belongs to another process now. */
     public void foreign(boolean other) {
         foreign = other;
@@ -133,7 +153,7 @@
                 listener.closed();
             } else if (foreign) {
                 listener.refused(ErrorCode.MISROUTED);
-            } else if (links.size() >= maxConnections) {
+            } else if (full || links.size() >= maxConnections) {
                 listener.refused(ErrorCode.TOO_MANY_CONNECTIONS);
             } else if (!link.closed) {
                 links.add(link);
@@ -185,10 +205,20 @@
             if (outcome instanceof Outcome.Failed && status == TransactionStatus.OPEN) {
                 status = TransactionStatus.FAILED;
             }
-            listener.replied(new Reply(List.of(), outcome, status, Option.some(position)));
+            listener.replied(new Reply(rows(command), outcome, status, Option.some(position)));
+        }
+
+        private List<String> rows(EndpointCommand command) {
+            boolean control =
+                    command instanceof EndpointCommand.QueryStatus || command instanceof EndpointCommand.StepDown;
+            return control ? List.of(primary + " " + position.term() + " " + position.offset()) : List.of();
         }
 
         private Outcome run(EndpointCommand command) {
+            if (command instanceof EndpointCommand.StepDown) {
+                primary = false;
+                return Outcome.Success.LOCAL;
+            }
             if (command instanceof EndpointCommand.Begin begin) {
                 return begin(begin);
             }
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakePeers.java
@@ -0,0 +1,77 @@
+package org.hyssopswitch.pool.testing;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.peer.PeerLinks;
+
+/** The links between some VMs, with VMs that are cut off. */
+public final class FakePeers {
+
+    private static final long DELIVERY_MILLIS = 2;
+
+    private final ManualLoop loop;
+    private final Map<String, BiConsumer<String, PeerMessage>> receivers = new LinkedHashMap<>();
+    private final Set<String> cut = new HashSet<>();
+
+    /** Creates a network without VMs. */
+    public FakePeers(ManualLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Adds a VM. */
+    public PeerLinks join(String vm, BiConsumer<String, PeerMessage> receiver) {
+        receivers.put(vm, receiver);
+        return new Links(vm);
+    }
+
+    /** Cuts a VM off from all others, or ends the cut. */
+    public void cut(String vm, boolean off) {
+        if (off) {
+            cut.add(vm);
+        } else {
+            cut.remove(vm);
+        }
+    }
+
+    private final class Links implements PeerLinks {
+
+        private final String self;
+
+        Links(String self) {
+            this.self = self;
+        }
+
+        @Override
+        public void send(String vm, PeerMessage message) {
+            loop.schedule(DELIVERY_MILLIS, () -> {
+                BiConsumer<String, PeerMessage> receiver = receivers.get(vm);
+                if (receiver != null && !cut.contains(vm) && !cut.contains(self)) {
+                    receiver.accept(self, message);
+                }
+            });
+        }
+
+        @Override
+        public void sendToSome(PeerMessage message) {
+            names().forEach(name -> send(name, message));
+        }
+
+        @Override
+        public Collection<String> names() {
+            return receivers.keySet().stream()
+                    .filter(name -> !name.equals(self))
+                    .toList();
+        }
+
+        @Override
+        public String toString() {
+            return "Links" + List.of(self);
+        }
+    }
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeTable.java
@@ -0,0 +1,136 @@
+package org.hyssopswitch.pool.testing;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.hyssopswitch.pool.store.Listing;
+import org.hyssopswitch.pool.store.ObjectTable;
+import org.hyssopswitch.pool.store.StoreFailure;
+import org.hyssopswitch.pool.store.Stored;
+
+/** Objects of one kind in memory, answered in virtual time, with outages and lost answers. */
+public final class FakeTable<T> implements ObjectTable<T> {
+
+    private static final long ANSWER_MILLIS = 8;
+    private static final long TIMEOUT_MILLIS = 1_200;
+
+    private final ManualLoop loop;
+    private final Map<String, Stored<T>> objects = new LinkedHashMap<>();
+    private final List<Stored<T>> history = new ArrayList<>();
+    private long revision = 1;
+    private boolean away;
+    private boolean loseAnswers;
+    private boolean historyGone;
+    private int calls;
+
+    /** Creates an empty table. */
+    public FakeTable(ManualLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Refuses all calls. */
+    public void away(boolean down) {
+        away = down;
+    }
+
+    /** Carries calls out and gives no answer. */
+    public void loseAnswers(boolean lose) {
+        loseAnswers = lose;
+    }
+
+    /** Forgets which objects changed. */
+    public void dropHistory() {
+        historyGone = true;
+        history.clear();
+    }
+
+    /** Calls so far. */
+    public int calls() {
+        return calls;
+    }
+
+    /** Writes as another writer does. */
+    public void put(String name, T value) {
+        revision++;
+        objects.put(name, new Stored<>(name, revision, Option.some(value)));
+        history.add(objects.get(name));
+    }
+
+    /** Removes as another writer does. */
+    public void remove(String name) {
+        revision++;
+        objects.remove(name);
+        history.add(new Stored<>(name, revision, Option.none()));
+    }
+
+    @Override
+    public void list(boolean stale, Consumer<Either<StoreFailure, Listing<T>>> done) {
+        answer(done, () -> Either.right(new Listing<>(List.copyOf(objects.values()), revision)));
+    }
+
+    @Override
+    public void watch(long from, long waitMillis, Consumer<Either<StoreFailure, Listing<T>>> done) {
+        if (away) {
+            answer(done, () -> Either.left(new StoreFailure.Unavailable("away")));
+            return;
+        }
+        if (historyGone) {
+            historyGone = false;
+            answer(done, () -> Either.left(new StoreFailure.HistoryGone()));
+            return;
+        }
+        calls++;
+        poll(from, loop.nowMillis() + waitMillis, done);
+    }
+
+    @Override
+    public void read(String name, Consumer<Either<StoreFailure, Option<Stored<T>>>> done) {
+        answer(done, () -> Either.right(Option.of(objects.get(name))));
+    }
+
+    @Override
+    public void write(String name, Option<Long> expected, T value, Consumer<Either<StoreFailure, Stored<T>>> done) {
+        answer(done, () -> {
+            Option<Long> present = Option.of(objects.get(name)).map(Stored::revision);
+            if (!present.equals(expected)) {
+                return Either.left(new StoreFailure.Conflict());
+            }
+            put(name, value);
+            return Either.right(objects.get(name));
+        });
+    }
+
+    private void poll(long from, long untilMillis, Consumer<Either<StoreFailure, Listing<T>>> done) {
+        List<Stored<T>> changed =
+                history.stream().filter(object -> object.revision() > from).toList();
+        if (away) {
+            done.accept(Either.left(new StoreFailure.Unavailable("cut")));
+        } else if (!changed.isEmpty() || loop.nowMillis() >= untilMillis) {
+            done.accept(Either.right(new Listing<>(changed, revision)));
+        } else {
+            loop.schedule(ANSWER_MILLIS, () -> poll(from, untilMillis, done));
+        }
+    }
+
+    private <R> void answer(Consumer<Either<StoreFailure, R>> done, Supplier<Either<StoreFailure, R>> call) {
+        calls++;
+        loop.schedule(ANSWER_MILLIS, () -> {
+            if (away) {
+                done.accept(Either.left(new StoreFailure.Unavailable("away")));
+                return;
+            }
+            Either<StoreFailure, R> result = call.get();
+            if (loseAnswers) {
+                loop.schedule(
+                        TIMEOUT_MILLIS, () -> done.accept(Either.left(new StoreFailure.Unavailable("no answer"))));
+            } else {
+                done.accept(result);
+            }
+        });
+    }
+}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -60,7 +60,7 @@
         groups = new Groups(new GroupContext(
                 "dc-e2",
                 (endpoint, account, listener) -> endpoints.get(endpoint.id()).connect(account, listener),
-                row -> Option.none(),
+                FakeEndpoint::decode,
                 (group, endpoint) -> shortages.add(endpoint),
                 loop::nowMillis));
         limiter = new AccountLimiter(new SilentPeers(), loop::nowMillis);
@@ -89,6 +89,16 @@
         loop.advance(millis);
     }
 
+    /** The decision thread. */
+    public ManualLoop loop() {
+        return loop;
+    }
+
+    /** All groups of the VM. */
+    public Groups groups() {
+        return groups;
+    }
+
     /** The sessions of the VM. */
     public Sessions sessions() {
         return sessions;
@@ -133,13 +143,18 @@
 
     /** A configuration with the three routes. */
     public static Catalog catalog(int maxConnections, Map<String, Account> accounts) {
+        return catalog(maxConnections, 0, accounts);
+    }
+
+    /** A configuration whose group acknowledges a commit once some replicas have it. */
+    public static Catalog catalog(int maxConnections, int syncReplicas, Map<String, Account> accounts) {
         return Catalog.of(
                 1,
                 List.of(
                         route(LATEST, Consistency.LATEST, 0),
                         route(BOUNDED, Consistency.BOUNDED, 1_500),
                         route(OWN, Consistency.READ_YOUR_WRITES, 2_500)),
-                List.of(new Group(GROUP, maxConnections, 0)),
+                List.of(new Group(GROUP, maxConnections, syncReplicas)),
                 accounts,
                 3_000);
     }
