Let a few VMs share the rate of a client account in a fleet of any size

Cause: with 69 VMs a share of a small account is less than one operation, and buckets of one operation each would admit 69 at once. Ruled out: an owner per account, whose loss would stop the account. Change: at most eight VMs, chosen by rendezvous hashing, share a rate; others borrow from them and give back what they do not use within 2 s. In fleets of up to eight VMs nothing changes. A VM is granted no connection of an endpoint when VMs outnumber its connections.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
@@ -4,7 +4,7 @@
  * How a VM uses the connections that an endpoint accepts from all VMs together.
  *
  * @param endpointMax connections that the endpoint accepts from all VMs, 1 or more
- * @param guaranteed connections that this VM may hold at any time, 1 or more
+ * @param guaranteed connections that this VM may hold at any time; 0 when VMs outnumber the endpoint's connections
  * @param kept connections that this VM keeps while no other VM lacks any, at least the guaranteed ones
  */
 record PoolLimits(int endpointMax, int guaranteed, int kept) {
@@ -13,8 +13,8 @@
     private static final double LOCAL_PART = 0.5;
 
     PoolLimits {
-        if (endpointMax < 1 || guaranteed < 1 || kept < guaranteed) {
-            throw new IllegalArgumentException("an endpoint must accept 1 connection or more, grant this VM 1 or more,"
+        if (endpointMax < 1 || guaranteed < 0 || kept < guaranteed) {
+            throw new IllegalArgumentException("an endpoint must accept 1 connection or more, grant this VM 0 or more,"
                     + " and this VM must keep no fewer, but the limits are " + endpointMax + ", " + guaranteed + " and "
                     + kept);
         }
@@ -28,7 +28,7 @@
      * @param localVms number of VMs in the endpoint's data centre, if it is a replica in this VM's; 0 otherwise
      */
     static PoolLimits of(int endpointMax, int vms, int localVms) {
-        int guaranteed = Math.max(1, endpointMax / Math.max(1, vms));
+        int guaranteed = endpointMax / Math.max(1, vms);
         int local = localVms > 0 ? (int) (endpointMax * LOCAL_PART / localVms) : 0;
         return new PoolLimits(endpointMax, guaranteed, Math.max(guaranteed, local));
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -1,9 +1,12 @@
 package org.hyssopswitch.pool.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.hyssopswitch.core.configuration.Rate;
+import org.hyssopswitch.core.placement.RendezvousUtils;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.peer.PeerLinks;
@@ -14,8 +17,10 @@
  * Admits operations of client accounts at this VM's share of their rates, and moves what is not needed to VMs that need
  * it.
  *
- * <p>The shares of all VMs add up to the declared rate and burst. An operation that is handed over is taken from the
- * giver before it is sent, so a lost message loses it and the limit holds whatever happens to messages and VMs.
+ * <p>A few VMs, chosen by rendezvous hashing of the account, hold equal shares, which add up to the declared rate and
+ * burst; in a small fleet these are all VMs. The others hold none and ask the few. An operation that is handed over is
+ * taken from the giver before it is sent, so a lost message loses it and the limit holds whatever happens to messages
+ * and VMs.
  */
 public final class AccountLimiter {
 
@@ -25,6 +30,9 @@
     /** Shortest time between two requests when operations run out, milliseconds. */
     private static final long URGENT_PERIOD_MILLIS = 25;
 
+    /** VMs that share the rate of one client account; bounds messages and rounding in a fleet of any size. */
+    private static final int SHARING_VMS = 8;
+
     /** What is asked for in all, as a multiple of what is missing: most VMs have little to spare. */
     private static final double OVERASK = 2;
 
@@ -49,16 +57,25 @@
      * Takes the limits of a configuration.
      *
      * @param catalog the configuration
-     * @param vms number of VMs that share the limits, 1 or more
+     * @param self name of this VM
+     * @param vms names of all VMs, this one included
      */
-    public void update(Catalog catalog, int vms) {
+    public void update(Catalog catalog, String self, Collection<String> vms) {
         long now = clock.getAsLong();
         Map<String, Rate> limits = new HashMap<>();
         catalog.accounts().values().forEach(account -> account.limit()
                 .forEach(rate -> limits.put(account.name(), rate)));
         shares.keySet().retainAll(limits.keySet());
-        limits.forEach((name, rate) ->
-                shares.computeIfAbsent(name, key -> new AccountShare(now)).resize(rate, vms, now));
+        limits.forEach((name, rate) -> {
+            List<String> sharing = vms.stream()
+                    .sorted(RendezvousUtils.byScore(name, vm -> vm))
+                    .limit(SHARING_VMS)
+                    .toList();
+            int part = sharing.contains(self) ? sharing.size() : 0;
+            List<String> others =
+                    sharing.stream().filter(vm -> !vm.equals(self)).toList();
+            shares.computeIfAbsent(name, key -> new AccountShare(now)).resize(rate, part, others, now);
+        });
     }
 
     /**
@@ -137,17 +154,17 @@
 
     private void ask(long now) {
         askedMillis = now;
-        Map<String, Double> wanted = new HashMap<>();
-        int asked = Math.max(1, peers.names().size());
+        Map<String, Map<String, Double>> wanted = new HashMap<>();
         shares.forEach((name, share) -> {
             double missing = share.missing(now);
-            if (missing > 0) {
-                wanted.put(name, missing * Math.min(asked, OVERASK) / asked);
+            List<String> others = share.others();
+            if (missing > 0 && !others.isEmpty()) {
+                double each = missing * Math.min(others.size(), OVERASK) / others.size();
+                others.forEach(
+                        vm -> wanted.computeIfAbsent(vm, key -> new HashMap<>()).put(name, each));
             }
         });
-        if (!wanted.isEmpty()) {
-            peers.sendToSome(new TokenNeed(wanted));
-        }
+        wanted.forEach((vm, byAccount) -> peers.send(vm, new TokenNeed(byAccount)));
     }
 
     /** Takes the decision on one operation. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
@@ -16,6 +16,9 @@
     /** Time over which demand is averaged, milliseconds. */
     private static final double DEMAND_MILLIS = 1_000;
 
+    /** Time for which a VM without a share of its own keeps operations that it does not use, milliseconds. */
+    private static final long BORROWED_MILLIS = 2_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** Longest wait told to a caller, milliseconds. */
@@ -26,19 +29,42 @@
     private double demandPerMilli;
     private long demandMillis;
     private double fleetRate;
+    private List<String> others = List.of();
+    private boolean borrower;
+    private long usedMillis;
 
     AccountShare(long nowMillis) {
         this.bucket = new TokenBucket(0, 0, nowMillis);
         this.demandMillis = nowMillis;
     }
 
-    void resize(Rate rate, int vms, long nowMillis) {
+    /**
+     * Takes the declared limit.
+     *
+     * @param rate the limit of all VMs together
+     * @param sharingVms number of VMs that share it when this is one of them, otherwise 0
+     * @param sharing the other VMs that share it
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    void resize(Rate rate, int sharingVms, List<String> sharing, long nowMillis) {
         fleetRate = rate.perSecond();
-        bucket.resize(rate.perSecond() / vms, Math.max(1, rate.burst() / vms), nowMillis);
+        others = sharing;
+        borrower = sharingVms == 0;
+        if (borrower) {
+            bucket.resize(0, Math.max(1, rate.burst() / Math.max(1, sharing.size())), nowMillis);
+        } else {
+            bucket.resize(rate.perSecond() / sharingVms, Math.max(1, rate.burst() / sharingVms), nowMillis);
+        }
+    }
+
+    /** The other VMs that share the limit. */
+    List<String> others() {
+        return others;
     }
 
     boolean tryTake(long nowMillis) {
         decayDemand(nowMillis);
+        usedMillis = nowMillis;
         demandPerMilli += 1 / DEMAND_MILLIS;
         return waiting.isEmpty() && bucket.tryTake(nowMillis);
     }
@@ -54,6 +80,9 @@
 
     /** Admits what waits as far as operations are free, and refuses what has waited too long. */
     void settle(long nowMillis) {
+        if (borrower && nowMillis - usedMillis > BORROWED_MILLIS) {
+            bucket.withdraw(bucket.burst(), nowMillis);
+        }
         waiting.removeIf(one -> !one.admission().wanted());
         List<Waiting> admitted = new ArrayList<>();
         while (!waiting.isEmpty() && bucket.tryTake(nowMillis)) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
@@ -8,9 +8,10 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.identity.CellId;
@@ -50,10 +51,10 @@
     private final DecisionLoop loop;
     private final BiConsumer<String, PeerMessage> receiver;
     private final Consumer<PeerLinks> connected;
-    private final IntConsumer sizeChanged;
+    private final Consumer<Set<String>> changed;
     private Option<DefaultPeerLinks> links = Option.none();
     private List<Stored<VmEntry>> listed = List.of();
-    private int size;
+    private Set<String> names = Set.of();
     private int lists;
 
     /**
@@ -62,18 +63,18 @@
      * @param ports the way to the outside
      * @param receiver takes messages of other VMs
      * @param connected told once messages can be sent
-     * @param sizeChanged told the number of VMs, this one included
+     * @param changed told the names of all VMs, this one included
      */
     Fleet(
             VmPorts ports,
             BiConsumer<String, PeerMessage> receiver,
             Consumer<PeerLinks> connected,
-            IntConsumer sizeChanged) {
+            Consumer<Set<String>> changed) {
         this.ports = ports;
         this.loop = ports.loop();
         this.receiver = receiver;
         this.connected = connected;
-        this.sizeChanged = sizeChanged;
+        this.changed = changed;
     }
 
     void start() {
@@ -81,11 +82,6 @@
         readSecret();
     }
 
-    /** Number of VMs, this one included; 0 until it is known. */
-    int size() {
-        return size;
-    }
-
     private void readSecret() {
         ports.secrets().read(SECRET, result -> {
             if (result.isLeft()) {
@@ -155,9 +151,9 @@
 
     private void requestList() {
         // A VM that starts must know all that started before it.
-        ports.vms().list(size > 0, result -> result.peek(this::listed).peekLeft(failure -> {
+        ports.vms().list(!names.isEmpty(), result -> result.peek(this::listed).peekLeft(failure -> {
             LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe());
-            if (size == 0) {
+            if (names.isEmpty()) {
                 loop.schedule(RETRY_MILLIS, this::requestList);
             }
         }));
@@ -167,14 +163,14 @@
         List<Stored<VmEntry>> known = listing.objects().stream()
                 .filter(stored -> stored.value().isDefined())
                 .toList();
-        boolean included = known.stream().anyMatch(stored -> stored.name().equals(ports.name()));
-        int count = known.size() + (included ? 0 : 1);
+        Set<String> now = new TreeSet<>(List.of(ports.name()));
+        known.forEach(stored -> now.add(stored.name()));
         listed = known;
         links.forEach(opened -> opened.update(addresses(known)));
-        if (count != size) {
-            LOG.info("event=fleet_size_changed from={} to={} revision={}", size, count, listing.revision());
-            size = count;
-            sizeChanged.accept(size);
+        if (!now.equals(names)) {
+            LOG.info("event=fleet_changed from={} to={} revision={}", names.size(), now.size(), listing.revision());
+            names = now;
+            changed.accept(now);
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import org.apache.logging.log4j.LogManager;
@@ -44,7 +45,7 @@
     private final PromotionSystem promotions;
     private final Fleet fleet;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private volatile int vms;
+    private volatile Set<String> vms = Set.of();
     private PeerLinks peers;
     private volatile boolean endpointsListed;
     private volatile boolean draining;
@@ -68,12 +69,12 @@
         this.limiter = new AccountLimiter(peers, loop::nowMillis);
         this.promotions = new PromotionSystem(
                 ports.name(), groups, ports.authority(), ports.duties(), loop, ports.random(), peers);
-        this.fleet = new Fleet(ports, this::received, this::connected, this::sizeChanged);
+        this.fleet = new Fleet(ports, this::received, this::connected, this::fleetChanged);
         this.sessions = new Sessions(
                 groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
         metrics.gauge("sessions", () -> sessions::size);
         metrics.gauge("configuration_version", () -> () -> catalog.version());
-        metrics.gauge("fleet_vms", () -> () -> vms);
+        metrics.gauge("fleet_vms", () -> () -> vms.size());
     }
 
     /** Starts to follow the store. */
@@ -96,7 +97,7 @@
 
     /** Whether new callers may be sent here; may be read on any thread. */
     public boolean ready() {
-        return !draining && endpointsListed && catalog.version() >= 0 && vms > 0;
+        return !draining && endpointsListed && catalog.version() >= 0 && !vms.isEmpty();
     }
 
     /**
@@ -127,11 +128,11 @@
     }
 
     private void apply() {
-        if (vms == 0) {
+        if (vms.isEmpty()) {
             return;
         }
-        groups.update(catalog, directory.endpoints(), vms);
-        limiter.update(catalog, vms);
+        groups.update(catalog, directory.endpoints(), vms.size());
+        limiter.update(catalog, ports.name(), vms);
         sessions.configure(catalog);
     }
 
@@ -153,9 +154,9 @@
         promotions.connect(links);
     }
 
-    private void sizeChanged(int size) {
-        vms = size;
-        promotions.fleetSize(size);
+    private void fleetChanged(Set<String> names) {
+        vms = names;
+        promotions.fleetSize(names.size());
         apply();
     }
 
