Promote only when more VMs than those of one data centre are cut off from the primary

With its neighbour it took the primaries of two groups for lost, which the other four VMs used all the while, and repeated its orders until the cut had healed: at 40.4 s a promotion that nobody needed was accepted. Ruled out: the fencing, which refused its order for the third group once another VM had promoted there. Change: a primary is replaced when at least 34 % of the VMs (3 of 6) report it, the holder included, and an order without an answer is not repeated once the primary is usable again or the duty is lost.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionRun.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionRun.java
@@ -184,7 +184,7 @@
             }
             default -> {
                 if (orders < MAX_ORDERS) {
-                    loop.schedule(ORDER_RETRY_MILLIS, () -> send(target, counted));
+                    loop.schedule(ORDER_RETRY_MILLIS, () -> repeat(target, counted));
                 } else {
                     end(ORDER_RETRY_MILLIS);
                 }
@@ -192,6 +192,22 @@
         }
     }
 
+    /** Repeats an order unless the primary has become usable again or this VM has lost the duty meanwhile. */
+    private void repeat(Endpoint target, DutyRecord counted) {
+        boolean usable = !planned && group.primary().exists(primary -> group.reaches(primary.id()));
+        if (usable || !duty.held()) {
+            LOG.info(
+                    "event=promotion_abandoned group={} endpoint={} token={} primary_usable={}",
+                    group.name(),
+                    target.id(),
+                    counted.token(),
+                    usable);
+            end(0);
+        } else {
+            send(target, counted);
+        }
+    }
+
     /** Stops writes at the old primary, so that none is acknowledged that the new one has not received. */
     private void handOver() {
         old.forEach(primary -> group.stepDown(
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
@@ -27,7 +27,10 @@
     /** Time after the confirmation in which every tick reports, milliseconds, so that a lost report does no harm. */
     private static final long FIRST_REPORTS_MILLIS = 50;
 
-    /** Part of the VMs that must be cut off from a primary before it is replaced. */
+    /**
+     * Part of the VMs that must be cut off from a primary before it is replaced: more than those of one data centre of
+     * three, which may be the ones that are cut off from all others.
+     */
     private static final double CUT_OFF_PART = 0.34;
 
     private final String self;
@@ -141,8 +144,8 @@
         String id = primary.map(Endpoint::id).getOrElse("");
         int cutOff = reports.count(group.name(), id, now) + (unusableHere ? 1 : 0);
         boolean draining = primary.exists(Endpoint::draining);
-        boolean lost = unusableHere && (primary.isEmpty() || cutOff >= Math.min(2, vms) || vms == 1);
-        if (draining || lost || cutOff >= Math.max(2, vms * CUT_OFF_PART)) {
+        boolean missing = unusableHere && primary.isEmpty();
+        if (draining || missing || cutOff >= Math.min(vms, Math.max(2, vms * CUT_OFF_PART))) {
             PromotionRun started = new PromotionRun(self, group, authority, duty, loop);
             runs.put(group.name(), started);
             started.start(primary, draining && group.reaches(id), cutOff);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -133,6 +133,11 @@
         breakConnections();
     }
 
+    /** Accepts connections again. */
+    public void restart() {
+        up = true;
+    }
+
     /** Breaks all connections. */
     public void breakConnections() {
         List.copyOf(links).forEach(link -> {
