Forget log positions whose age the monotonic clock cannot tell

Cause: a VM that is suspended does not count that time on its monotonic clock. Positions of the primary that were taken before the suspension looked young afterwards, so a read could be sent to a replica with a floor older than its route accepts.

Ruled out: a clock that adds the difference up, because a step back followed by a suspension hides the suspension from it.

Tests: SuspensionTests, two of three failed with the detector's tolerance set out of reach, all pass now.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -55,6 +55,7 @@
     private final BiConsumer<String, String> shortage;
     private final LongSupplier clock;
     private final Map<String, EndpointPool> pools = new HashMap<>();
+    private final SuspensionDetector suspensions;
     private final PositionSamples samples = new PositionSamples();
     private final Map<Work, Long> leaderless = new LinkedHashMap<>();
     private Group group;
@@ -76,6 +77,7 @@
         this.decoder = context.decoder();
         this.shortage = context.shortage();
         this.clock = context.clock();
+        this.suspensions = new SuspensionDetector(context.clock(), context.timeOfDay());
         this.reportedMillis = clock.getAsLong();
         this.tickedMillis = reportedMillis;
         this.usableMillis = reportedMillis;
@@ -184,6 +186,7 @@
 
     @Override
     public void provenPrimary(String endpointId, long askedMillis, LogPosition position) {
+        checkSuspension();
         boolean newer = position.term() > samples.term();
         if (position.term() >= samples.term()) {
             samples.add(askedMillis, position);
@@ -220,6 +223,7 @@
 
     @Override
     public Option<LogPosition> floor(Work work) {
+        checkSuspension();
         long staleness = Math.max(0, work.stalenessMillis() - STALENESS_MARGIN_MILLIS);
         return samples.floor(clock.getAsLong(), staleness)
                 .map(floor -> floor.max(samples.translate(work.sessionFloor())));
@@ -278,6 +282,14 @@
         }
     }
 
+    /** Ages of positions are unknown once the clock may have stood still. */
+    private void checkSuspension() {
+        if (suspensions.suspended()) {
+            LOG.warn("event=positions_forgotten group={} cause=suspension_or_clock_step term={}", name(), term());
+            samples.forgetAges(clock.getAsLong());
+        }
+    }
+
     /** Asks all other endpoints whether they lead: the store may be out of reach, or slower than the endpoints. */
     private void findPrimary(long now) {
         if (now - searchedMillis >= SEARCH_MILLIS) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
@@ -11,10 +11,12 @@
  * @param decoder reads answers to status queries
  * @param shortage told group and endpoint when an endpoint refuses what the VM's guaranteed share includes
  * @param clock milliseconds of the monotonic clock
+ * @param timeOfDay milliseconds since the epoch, which may jump
  */
 public record GroupContext(
         String dataCentre,
         EndpointConnector connector,
         StatusDecoder decoder,
         BiConsumer<String, String> shortage,
-        LongSupplier clock) {}
+        LongSupplier clock,
+        LongSupplier timeOfDay) {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PositionSamples.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PositionSamples.java
@@ -21,6 +21,7 @@
 
     private final Deque<Sample> samples = new ArrayDeque<>();
     private Option<LogPosition> termStart = Option.none();
+    private long validFromMillis = Long.MIN_VALUE;
 
     /**
      * Adds a sample; samples of earlier terms than the latest are ignored.
@@ -30,7 +31,7 @@
      */
     void add(long askedMillis, LogPosition position) {
         long term = term();
-        if (position.term() < term) {
+        if (position.term() < term || askedMillis < validFromMillis) {
             return;
         }
         if (position.term() > term) {
@@ -48,6 +49,16 @@
         }
     }
 
+    /**
+     * Forgets all samples, because their ages are no longer known, but not the term.
+     *
+     * @param nowMillis milliseconds of the monotonic clock; samples asked for earlier are ignored from now on
+     */
+    void forgetAges(long nowMillis) {
+        samples.clear();
+        validFromMillis = nowMillis;
+    }
+
     /** The latest term seen; -1 before the first sample. */
     long term() {
         return termStart.map(LogPosition::term).getOrElse(-1L);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -74,7 +74,8 @@
                 ports.connector(),
                 ports.decoder(),
                 (group, endpoint) -> peers.sendToSome(new ConnectionShortage(group, endpoint)),
-                loop::nowMillis));
+                loop::nowMillis,
+                ports.timeOfDay()));
         this.limiter = new AccountLimiter(peers, loop::nowMillis);
         this.promotions = new PromotionSystem(
                 ports.name(), groups, ports.authority(), ports.duties(), loop, ports.random(), peers);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmPorts.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmPorts.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.vm;
 
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -16,6 +17,7 @@
  * @param name name of the VM
  * @param self what it records about itself
  * @param loop the decision thread
+ * @param timeOfDay milliseconds since the epoch, which may jump
  * @param random source of jitter
  * @param connector opens connections to endpoints
  * @param catalogs the operator's configuration
@@ -30,6 +32,7 @@
         String name,
         VmEntry self,
         DecisionLoop loop,
+        LongSupplier timeOfDay,
         RandomGenerator random,
         EndpointConnector connector,
         ObjectTable<Catalog> catalogs,
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/SuspensionTests.java
@@ -0,0 +1,65 @@
+package org.hyssopswitch.pool.endpoint;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.statement.Statement;
+import org.hyssopswitch.pool.testing.FakeCaller;
+import org.hyssopswitch.pool.testing.TestPool;
+import org.junit.jupiter.api.Test;
+
+/** A VM is suspended for longer than reads accept, and its monotonic clock with it. */
+class SuspensionTests {
+
+    private static final long SUSPENDED_MILLIS = 5_000;
+
+    private final TestPool pool = new TestPool(16, 1);
+
+    @Test
+    void readsNoReplicaByAPositionFromBeforeASuspension() {
+        FakeCaller caller = pool.caller(TestPool.BOUNDED);
+        caller.read("r1");
+        pool.advance(300);
+        caller.read("r2");
+        pool.advance(100);
+        assertTrue(readAtReplicas("r2"));
+        pool.suspend(SUSPENDED_MILLIS);
+        pool.endpoint("e1").position(new LogPosition(1, 20));
+        caller.read("r3");
+        pool.advance(100);
+        assertTrue(caller.last().succeeded());
+        assertTrue(pool.endpoint("e1").ran().contains("r3"));
+    }
+
+    @Test
+    void takesNoPositionThatWasAskedForBeforeASuspension() {
+        FakeCaller caller = pool.caller(TestPool.LATEST);
+        caller.send("b", new Statement.Begin(false));
+        caller.read("r1");
+        pool.suspend(SUSPENDED_MILLIS);
+        pool.advance(50);
+        FakeCaller reader = pool.caller(TestPool.BOUNDED);
+        pool.endpoint("e1").position(new LogPosition(1, 20));
+        reader.read("r2");
+        pool.advance(100);
+        assertTrue(pool.endpoint("e1").ran().contains("r2"));
+    }
+
+    @Test
+    void readsReplicasAgainOnceTheLogPositionIsKnownAnew() {
+        FakeCaller caller = pool.caller(TestPool.BOUNDED);
+        caller.read("r1");
+        pool.suspend(SUSPENDED_MILLIS);
+        pool.advance(1_000);
+        caller.read("r2");
+        pool.advance(1_000);
+        caller.read("r3");
+        pool.advance(100);
+        assertTrue(readAtReplicas("r3"));
+    }
+
+    private boolean readAtReplicas(String id) {
+        return pool.endpoint("e2").ran().contains(id)
+                || pool.endpoint("e3").ran().contains(id);
+    }
+}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -49,6 +49,7 @@
     private final AccountLimiter limiter;
     private final List<String> shortages = new ArrayList<>();
     private Catalog catalog;
+    private long suspendedMillis;
 
     /** Starts a VM before endpoints that accept a number of connections each. */
     public TestPool(int maxConnections, int vms) {
@@ -62,7 +63,8 @@
                 (endpoint, account, listener) -> endpoints.get(endpoint.id()).connect(account, listener),
                 FakeEndpoint::decode,
                 (group, endpoint) -> shortages.add(endpoint),
-                loop::nowMillis));
+                loop::nowMillis,
+                () -> loop.nowMillis() + suspendedMillis));
         limiter = new AccountLimiter(new SilentPeers(), loop::nowMillis);
         sessions = new Sessions(
                 groups,
@@ -89,6 +91,11 @@
         loop.advance(millis);
     }
 
+    /** Suspends the VM: the time of day goes on, the monotonic clock stands still. */
+    public void suspend(long millis) {
+        suspendedMillis += millis;
+    }
+
     /** The decision thread. */
     public ManualLoop loop() {
         return loop;
