--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/ComponentCodecUtils.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/ComponentCodecUtils.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.peer;
 
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.Type;
@@ -55,6 +56,9 @@
         if (raw == Optional.class) {
             return optionalCodec(arguments.get(0));
         }
+        if (raw == Option.class) {
+            return optionCodec(arguments.get(0));
+        }
         if (raw == Map.class) {
             return mapCodec(arguments.get(0), arguments.get(1));
         }
@@ -159,6 +163,13 @@
                 in -> in.values().unpackBoolean() ? Optional.of(element.read(in)) : Optional.empty());
     }
 
+    private static ComponentCodec optionCodec(ComponentCodec element) {
+        ComponentCodec optional = optionalCodec(element);
+        return codec(
+                (p, v) -> optional.write(p, ((Option<?>) v).toJavaOptional()),
+                in -> Option.ofOptional((Optional<?>) optional.read(in)));
+    }
+
     private static ComponentCodec mapCodec(ComponentCodec key, ComponentCodec value) {
         return codec(
                 (p, v) -> {
--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/MessageCodecTests.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/MessageCodecTests.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -154,7 +155,16 @@
                         positions,
                         nested)
                 .as((i, l, d, s, role, position, n) -> new SampleMessages.Everything(
-                        i, l, d, i > 0, s, role, position, Optional.of(new DatabaseId("db.1")), n));
+                        i,
+                        l,
+                        d,
+                        i > 0,
+                        s,
+                        role,
+                        position,
+                        Optional.of(new DatabaseId("db.1")),
+                        Option.when(l > 0, position),
+                        n));
     }
 
     private byte[] body(PeerMessage message) {
--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/SampleMessages.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/SampleMessages.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.peer;
 
+import io.vavr.control.Option;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,7 @@
             EndpointRole role,
             LogPosition position,
             Optional<DatabaseId> database,
+            Option<LogPosition> floor,
             Nested nested)
             implements PeerMessage {}
 
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionBudget.java
@@ -0,0 +1,93 @@
+package org.hyssopswitch.pool.endpoint;
+
+/** How many connections this VM may hold to one endpoint, and when it may open another one. */
+final class ConnectionBudget {
+
+    /** Pause in opening after the endpoint refused a connection, milliseconds: a few statements' time. */
+    private static final long FULL_PAUSE_MILLIS = 40;
+
+    /** Pause in opening after a connection could not be opened, milliseconds. */
+    private static final long FAILED_PAUSE_MILLIS = 200;
+
+    /** Time after which an endpoint whose address belongs to another process is tried again, milliseconds. */
+    private static final long FOREIGN_PAUSE_MILLIS = 2_000;
+
+    /** Time for which no more connections than at the refusal are held, milliseconds. */
+    private static final long CAPPED_MILLIS = 1_000;
+
+    /** Time for which connections beyond the guaranteed share are given up at once for other VMs, milliseconds. */
+    private static final long YIELD_MILLIS = 1_000;
+
+    /** Time after the last lease for which a VM keeps connections to lend, milliseconds. */
+    private static final long LENDING_MILLIS = 5_000;
+
+    private PoolLimits limits;
+    private long openAfterMillis;
+    private long cappedUntilMillis;
+    private int cap;
+    private long yieldUntilMillis;
+    private long lendingUntilMillis;
+
+    ConnectionBudget(PoolLimits limits) {
+        this.limits = limits;
+    }
+
+    void update(PoolLimits changed) {
+        limits = changed;
+    }
+
+    /** Whether VMs borrow connections because the endpoint accepts too few. */
+    boolean scarce() {
+        return limits.scarce();
+    }
+
+    int guaranteed() {
+        return limits.guaranteed();
+    }
+
+    boolean mayOpen(long nowMillis) {
+        return nowMillis >= openAfterMillis;
+    }
+
+    /** Connections that this VM keeps; more are opened only while all of them are lent. */
+    int kept(boolean lender, long nowMillis) {
+        if (limits.scarce() && (lender || nowMillis < lendingUntilMillis)) {
+            return limits.lent();
+        }
+        return nowMillis < yieldUntilMillis ? limits.guaranteed() : limits.kept();
+    }
+
+    /** Connections that this VM holds at most. */
+    int most(long nowMillis) {
+        return nowMillis < cappedUntilMillis ? cap : limits.endpointMax();
+    }
+
+    void lending(long nowMillis) {
+        lendingUntilMillis = nowMillis + LENDING_MILLIS;
+    }
+
+    void yieldExtra(long nowMillis) {
+        yieldUntilMillis = nowMillis + YIELD_MILLIS;
+    }
+
+    /** The endpoint refused a connection because it has enough. */
+    void refusedFull(int held, long nowMillis) {
+        openAfterMillis = nowMillis + FULL_PAUSE_MILLIS;
+        cappedUntilMillis = nowMillis + CAPPED_MILLIS;
+        cap = Math.max(1, held);
+    }
+
+    /** Another process listens at the endpoint's address. */
+    void refusedForeign(long nowMillis) {
+        openAfterMillis = nowMillis + FOREIGN_PAUSE_MILLIS;
+    }
+
+    void openFailed(long nowMillis) {
+        openAfterMillis = nowMillis + FAILED_PAUSE_MILLIS;
+    }
+
+    /** The endpoint's process is another one now. */
+    void processChanged(long nowMillis) {
+        openAfterMillis = nowMillis;
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ControlWork.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ControlWork.java
@@ -13,6 +13,7 @@
 
     private static final int BEFORE_ALL = -1;
 
+    private final String endpointId;
     private final EndpointCommand command;
     private final Account account;
     private final long assignBeforeMillis;
@@ -20,7 +21,13 @@
     private Option<PooledConnection> connection = Option.none();
     private boolean ended;
 
-    ControlWork(EndpointCommand command, Account account, long assignBeforeMillis, Consumer<Option<Reply>> done) {
+    ControlWork(
+            String endpointId,
+            EndpointCommand command,
+            Account account,
+            long assignBeforeMillis,
+            Consumer<Option<Reply>> done) {
+        this.endpointId = endpointId;
         this.command = command;
         this.account = account;
         this.assignBeforeMillis = assignBeforeMillis;
@@ -43,7 +50,12 @@
     }
 
     @Override
-    public boolean control() {
+    public Option<String> pinnedTo() {
+        return Option.some(endpointId);
+    }
+
+    @Override
+    public boolean anyAccount() {
         return true;
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -35,6 +35,9 @@
     /** Age of the latest position of the primary from which on a new one is asked for, milliseconds. */
     private static final long SAMPLE_INTERVAL_MILLIS = 400;
 
+    /** The same where a lender asks for many VMs, milliseconds: half of the least accepted age seen on routes. */
+    private static final long SHARED_SAMPLE_INTERVAL_MILLIS = 700;
+
     /** Time for which reads keep the positions of the primary up to date, milliseconds. */
     private static final long READ_INTEREST_MILLIS = 3_000;
 
@@ -44,13 +47,16 @@
     /** Period in which endpoints are asked for the primary while none is usable, milliseconds. */
     private static final long SEARCH_MILLIS = 150;
 
+    /** The same where lenders are asked, milliseconds. */
+    private static final long SHARED_SEARCH_MILLIS = 400;
+
     /** Period in which the use of connections is logged, milliseconds. */
     private static final long REPORT_MILLIS = 10_000;
 
     private static final Logger LOG = LogManager.getLogger(DatabaseGroup.class);
 
     private final String dataCentre;
-    private final EndpointConnector connector;
+    private final GroupContext context;
     private final StatusDecoder decoder;
     private final BiConsumer<String, String> shortage;
     private final LongSupplier clock;
@@ -60,6 +66,7 @@
     private final Map<Work, Long> leaderless = new LinkedHashMap<>();
     private Group group;
     private int vms;
+    private int accounts;
     private Option<String> primaryId = Option.none();
     private long primaryRevision = -1;
     private long lastReadMillis = Long.MIN_VALUE / 2;
@@ -69,11 +76,11 @@
     private long searchedMillis;
     private long lastSampleMillis = Long.MIN_VALUE / 2;
 
-    DatabaseGroup(Group group, int vms, GroupContext context) {
+    DatabaseGroup(Group group, GroupContext context) {
         this.group = group;
-        this.vms = vms;
+        this.vms = 1;
         this.dataCentre = context.dataCentre();
-        this.connector = context.connector();
+        this.context = context;
         this.decoder = context.decoder();
         this.shortage = context.shortage();
         this.clock = context.clock();
@@ -125,6 +132,10 @@
      * @param work the work
      */
     public void submit(Work work) {
+        if (work.pinnedTo().isDefined()) {
+            submitPinned(work);
+            return;
+        }
         if (!work.primaryOnly()) {
             lastReadMillis = clock.getAsLong();
         }
@@ -136,6 +147,52 @@
         }
     }
 
+    /**
+     * Queues work of another VM for a connection that it borrows.
+     *
+     * @param endpointId the endpoint
+     * @param work the work, pinned to the endpoint
+     * @return why no connection can be lent, or nothing
+     */
+    public Option<LeaseEnd> lend(String endpointId, Work work) {
+        Option<LeaseEnd> refusal = refusal(endpointId);
+        if (refusal.isEmpty()) {
+            pools.get(endpointId).lend(work);
+        }
+        return refusal;
+    }
+
+    /**
+     * Why no connection to an endpoint can be lent; nothing when one can.
+     *
+     * @param endpointId the endpoint
+     */
+    public Option<LeaseEnd> refusal(String endpointId) {
+        EndpointPool pool = pools.get(endpointId);
+        if (pool == null) {
+            return Option.some(LeaseEnd.NO_LENDER);
+        }
+        if (!pool.reachable()) {
+            return Option.some(LeaseEnd.UNREACHABLE);
+        }
+        return pool.suspect() ? Option.some(LeaseEnd.SUSPECT) : Option.none();
+    }
+
+    /**
+     * Asks an endpoint on behalf of another VM whether it is the primary.
+     *
+     * @param endpointId the endpoint
+     * @param listener told the answer if there is one
+     */
+    public void askPosition(String endpointId, PositionListener listener) {
+        Option<EndpointPool> pool = Option.of(pools.get(endpointId));
+        if (pool.exists(EndpointPool::reachable)) {
+            pool.get().askPosition(listener);
+        } else if (pool.isDefined()) {
+            listener.unreachable();
+        }
+    }
+
     /**
      * Asks an endpoint for its status.
      *
@@ -234,14 +291,15 @@
         submit(work);
     }
 
-    void update(Group declared, int vmCount, Collection<Endpoint> listed) {
+    void update(Group declared, Sharing sharing, Collection<Endpoint> listed) {
         group = declared;
-        vms = vmCount;
+        vms = sharing.vms();
+        accounts = sharing.accounts();
         Map<String, Endpoint> byId = new HashMap<>();
         listed.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
         byId.values().forEach(endpoint -> {
             PoolLimits limits = limits(endpoint, byId.values());
-            pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, connector, this, clock))
+            pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, context, this))
                     .update(endpoint, limits);
         });
         for (String id : List.copyOf(pools.keySet())) {
@@ -275,8 +333,9 @@
             pools.values().forEach(EndpointPool::report);
         }
         boolean interest = now - lastReadMillis < READ_INTEREST_MILLIS;
-        boolean old = now - samples.latestAskedMillis().getOrElse(lastSampleMillis) > SAMPLE_INTERVAL_MILLIS;
-        if (interest && old && now - lastSampleMillis > SAMPLE_INTERVAL_MILLIS) {
+        long intervalMillis = scarce() ? SHARED_SAMPLE_INTERVAL_MILLIS : SAMPLE_INTERVAL_MILLIS;
+        boolean old = now - samples.latestAskedMillis().getOrElse(lastSampleMillis) > intervalMillis;
+        if (interest && old && now - lastSampleMillis > intervalMillis) {
             lastSampleMillis = now;
             primaryPool().forEach(EndpointPool::samplePrimary);
         }
@@ -292,7 +351,7 @@
 
     /** Asks all other endpoints whether they lead: the store may be out of reach, or slower than the endpoints. */
     private void findPrimary(long now) {
-        if (now - searchedMillis >= SEARCH_MILLIS) {
+        if (now - searchedMillis >= (scarce() ? SHARED_SEARCH_MILLIS : SEARCH_MILLIS)) {
             searchedMillis = now;
             pools.values().stream()
                     .filter(pool ->
@@ -302,15 +361,25 @@
         }
     }
 
-    void closeIdle() {
-        pools.values().forEach(EndpointPool::closeIdle);
+    /** Whether connections are too few for all VMs, so that questions to endpoints go through lenders. */
+    private boolean scarce() {
+        return PoolLimits.of(group.maxConnections(), vms, 0, accounts).scarce();
     }
 
     private PoolLimits limits(Endpoint endpoint, Collection<Endpoint> all) {
         long dataCentres = all.stream().map(Endpoint::dataCentre).distinct().count();
         boolean local = !endpoint.primary() && endpoint.dataCentre().equals(dataCentre);
         int localVms = local ? (int) Math.max(1, (vms + dataCentres - 1) / dataCentres) : 0;
-        return PoolLimits.of(group.maxConnections(), vms, localVms);
+        return PoolLimits.of(group.maxConnections(), vms, localVms, accounts);
+    }
+
+    private void submitPinned(Work work) {
+        String endpointId = work.pinnedTo().get();
+        if (refusal(endpointId).isEmpty()) {
+            pools.get(endpointId).offer(work);
+        } else {
+            work.refused(ErrorCode.OVERLOADED, "endpoint " + endpointId + " does not answer");
+        }
     }
 
     private void control(
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointLink.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointLink.java
@@ -46,5 +46,12 @@
 
         /** The connection could not be opened or was closed by the other side. */
         void closed();
+
+        /**
+         * The connection was borrowed, and the lender does not lend it or no longer.
+         *
+         * @param reason why
+         */
+        void leaseEnded(LeaseEnd reason);
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.position.LogPosition;
@@ -22,25 +24,13 @@
  *
  * <p>A connection serves one client account. The VM keeps a number of connections and gives an unused one up for another
  * account first; beyond that number, connections are opened only while all are lent, and closed soon after their use, so
- * that other VMs find room.
+ * that other VMs find room. Where an endpoint accepts too few connections for all VMs, one VM lends them to the others.
  */
 final class EndpointPool {
 
-    /** Pause in opening after the endpoint refused a connection, milliseconds: a few statements' time. */
-    private static final long FULL_PAUSE_MILLIS = 40;
-
-    /** Pause in opening after a connection could not be opened, milliseconds. */
-    private static final long FAILED_PAUSE_MILLIS = 200;
-
     /** Time for which an unused connection beyond those that are kept stays open, milliseconds. */
     private static final long EXTRA_IDLE_MILLIS = 100;
 
-    /** Time for which no more connections than at the refusal are held, milliseconds. */
-    private static final long CAPPED_MILLIS = 1_000;
-
-    /** Time for which connections beyond the guaranteed share are given up at once for other VMs, milliseconds. */
-    private static final long YIELD_MILLIS = 1_000;
-
     /** Time for which an unused connection stays open, milliseconds; endpoints close idle ones after a minute. */
     private static final long IDLE_MILLIS = 40_000;
 
@@ -53,51 +43,47 @@
     /** Silence after which no new work is given to the endpoint, milliseconds. */
     private static final long SUSPECT_MILLIS = 300;
 
-    /** Time after which an endpoint whose address belongs to another process is tried again, milliseconds. */
-    private static final long FOREIGN_PAUSE_MILLIS = 2_000;
-
     /** Time after the announcement of its stop until which an endpoint may get work, milliseconds. */
     private static final long DRAIN_USE_MILLIS = 5_500;
 
     /** Part of an opening's time that counts against an endpoint: the connection serves later statements too. */
     private static final double OPEN_WEIGHT = 0.3;
 
-    private static final double SMOOTHING = 0.1;
-    private static final double FIRST_SERVICE_MILLIS = 10;
-    private static final double FIRST_OPEN_MILLIS = 15;
+    /** Part of an endpoint's remaining cold time that counts against it. */
+    private static final double COLD_WEIGHT = 0.01;
+
     private static final Logger LOG = LogManager.getLogger(EndpointPool.class);
 
     private final EndpointConnector connector;
+    private final LeaseSource leases;
     private final PoolEvents events;
     private final LongSupplier clock;
     private final List<PooledConnection> connections = new ArrayList<>();
-    private final List<Work> waiting = new ArrayList<>();
-    private final Map<Work, Long> waitingSince = new HashMap<>();
+    private final WorkQueue waiting = new WorkQueue();
     private final PoolCounters counters = new PoolCounters();
+    private final LatencyEstimates estimates = new LatencyEstimates();
+    private final ConnectionBudget budget;
+    private final PrimarySampler sampler;
     private Endpoint endpoint;
-    private PoolLimits limits;
-    private long openAfterMillis;
-    private long cappedUntilMillis;
-    private int cap;
-    private long yieldUntilMillis;
     private long askedMillis;
     private boolean suspect;
+    private long suspectUntilMillis;
     private Option<Long> drainingSinceMillis = Option.none();
     private long lastHeardMillis;
     private boolean reachable = true;
-    private double serviceMillis = FIRST_SERVICE_MILLIS;
-    private double openMillis = FIRST_OPEN_MILLIS;
     private boolean pumping;
     private Account lastAccount = Account.ANONYMOUS;
 
-    EndpointPool(
-            Endpoint endpoint, PoolLimits limits, EndpointConnector connector, PoolEvents events, LongSupplier clock) {
+    EndpointPool(Endpoint endpoint, PoolLimits limits, GroupContext context, PoolEvents events) {
         this.endpoint = endpoint;
-        this.limits = limits;
-        this.connector = connector;
+        this.budget = new ConnectionBudget(limits);
+        this.connector = context.connector();
+        this.leases = context.leases();
         this.events = events;
-        this.clock = clock;
+        this.clock = context.clock();
+        this.sampler = new PrimarySampler(this);
         this.lastHeardMillis = clock.getAsLong();
+        this.suspectUntilMillis = lastHeardMillis;
     }
 
     Endpoint endpoint() {
@@ -121,73 +107,75 @@
         boolean same = endpoint.sameProcess(changed);
         endpoint = changed;
         drainingSinceMillis = changed.draining() ? drainingSinceMillis.orElse(Option.some(nowMillis())) : Option.none();
-        limits = changedLimits;
+        budget.update(changedLimits);
         if (!same) {
             List.copyOf(connections).forEach(PooledConnection::discard);
-            openAfterMillis = nowMillis();
+            budget.processChanged(nowMillis());
             markReachable();
         }
     }
 
     /** Whether new work may be given to the endpoint. */
     boolean usable() {
-        return reachable && !suspect && !drainingSinceMillis.exists(since -> nowMillis() - since > DRAIN_USE_MILLIS);
+        return reachable && !suspect() && !drainingSinceMillis.exists(since -> nowMillis() - since > DRAIN_USE_MILLIS);
+    }
+
+    /** Whether the endpoint has been silent for a while. */
+    boolean suspect() {
+        return suspect || nowMillis() < suspectUntilMillis;
     }
 
     /** Expected milliseconds until a new statement of an account would be answered. */
     double expectedMillis(Account account) {
-        long usable =
-                connections.stream().filter(c -> c.account().equals(account)).count();
-        boolean idle =
-                connections.stream().anyMatch(c -> c.idle() && c.account().equals(account));
-        double opening = idle ? 0 : openMillis * OPEN_WEIGHT;
-        double queued = waiting.size() * serviceMillis / Math.max(1, Math.max(usable, connections.size()));
-        double busy = connections.stream().filter(c -> !c.idle()).count() * serviceMillis / 2;
-        return opening + queued + busy + serviceMillis + endpoint.coldMillis() / 100.0;
+        double cold = endpoint.coldMillis() * COLD_WEIGHT;
+        double service = estimates.serviceMillis();
+        if (borrows()) {
+            return estimates.leaseMillis(nowMillis()) + service + cold;
+        }
+        long usable = direct().filter(c -> c.serves(account)).count();
+        boolean idle = direct().anyMatch(c -> c.idle() && c.serves(account));
+        double opening = idle ? 0 : estimates.openMillis() * OPEN_WEIGHT;
+        double queued = waiting.size() * service / Math.max(1, Math.max(usable, directCount()));
+        double busy = direct().filter(c -> !c.idle()).count() * service / 2;
+        return opening + queued + busy + service + cold;
     }
 
     void offer(Work work) {
-        int at = waiting.size();
-        while (at > 0 && waiting.get(at - 1).priority() > work.priority()) {
-            at--;
-        }
-        waiting.add(at, work);
-        waitingSince.put(work, nowMillis());
+        waiting.add(work, nowMillis());
         pump();
     }
 
+    /** Queues work of another VM, for which connections are kept from now on. */
+    void lend(Work work) {
+        budget.lending(nowMillis());
+        offer(work);
+    }
+
     /** Opens a connection that work of an account is about to need, unless one is at hand or on its way. */
     void prefetch(Account account, boolean evict) {
         long now = nowMillis();
-        boolean ready = connections.stream()
-                .anyMatch(c -> (c.idle() || c.opening()) && c.account().equals(account));
-        if (!ready && now >= openAfterMillis && (evict ? makeRoom(now) : connections.size() < kept(now))) {
+        boolean ready = direct().anyMatch(c -> (c.idle() || c.opening()) && c.serves(account));
+        if (!borrows() && !ready && budget.mayOpen(now) && (evict ? makeRoom(now) : directCount() < kept(now))) {
             open(account, now);
         }
     }
 
     /** Takes back all work that waits. */
     List<Work> drainWaiting() {
-        List<Work> result = List.copyOf(waiting);
-        waiting.clear();
-        waitingSince.clear();
-        return result;
-    }
-
-    void close() {
-        List.copyOf(connections).forEach(PooledConnection::discard);
+        return waiting.drain();
     }
 
     /** Logs what happened since the last report. */
     void report() {
         LOG.info(
-                "event=pool_report endpoint={} group={} connections={} idle={} waiting={} service_ms={} {}",
+                "event=pool_report endpoint={} group={} connections={} idle={} borrowed={} waiting={} service_ms={} {}",
                 endpoint.id(),
                 endpoint.group(),
-                connections.size(),
-                connections.stream().filter(PooledConnection::idle).count(),
+                directCount(),
+                direct().filter(PooledConnection::idle).count(),
+                connections.size() - directCount(),
                 waiting.size(),
-                Math.round(serviceMillis),
+                Math.round(estimates.serviceMillis()),
                 counters.takeReport());
     }
 
@@ -198,29 +186,38 @@
 
     void tick() {
         long now = nowMillis();
-        expire(now);
+        waiting.takeExpired(now)
+                .forEach(work -> work.refused(
+                        ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time"));
         checkSilence(now);
         closeUnused(now);
         if (!reachable) {
             probe(now);
         }
+        sampler.tick();
         pump();
     }
 
-    /** Asks whether the endpoint is the primary and for its position, over a connection that is not lent. */
+    /** Asks whether the endpoint is the primary and for its position. */
     void samplePrimary() {
-        Option<PooledConnection> idle = Option.ofOptional(
-                connections.stream().filter(PooledConnection::idle).findFirst());
+        if (!borrows() || !leases.askPosition(endpoint, new SampleReport(nowMillis()))) {
+            sampler.sample();
+        }
+    }
+
+    /** Answers another VM's question whether the endpoint is the primary. */
+    void askPosition(PositionListener listener) {
+        sampler.ask(listener);
+    }
+
+    /** A connection that is not lent and leads straight to the endpoint; one is opened when there is none. */
+    Option<PooledConnection> idleOrOpen() {
+        Option<PooledConnection> idle =
+                Option.ofOptional(direct().filter(PooledConnection::idle).findFirst());
         if (idle.isEmpty()) {
-            boolean opening = connections.stream().anyMatch(PooledConnection::opening);
-            if (!opening && nowMillis() >= openAfterMillis) {
-                open(lastAccount, nowMillis());
-            }
-            return;
+            probe(nowMillis());
         }
-        PooledConnection connection = idle.get();
-        connection.lend();
-        connection.send(new EndpointCommand.Begin(false, Option.none()), new SampleReply(connection, nowMillis()));
+        return idle;
     }
 
     /** Assigns connections to waiting work and opens what is missing. */
@@ -232,6 +229,7 @@
         try {
             assignIdle();
             openMissing();
+            returnLeases();
         } finally {
             pumping = false;
         }
@@ -244,6 +242,7 @@
     void heard() {
         lastHeardMillis = nowMillis();
         suspect = false;
+        suspectUntilMillis = lastHeardMillis;
         markReachable();
     }
 
@@ -254,11 +253,16 @@
 
     void openedAfter(long millis) {
         counters.opened(millis);
-        openMillis += SMOOTHING * (millis - openMillis);
+        estimates.opened(millis);
+    }
+
+    void leasedAfter(long millis) {
+        counters.leased(millis);
+        estimates.leased(millis, nowMillis());
     }
 
     void servedIn(long millis) {
-        serviceMillis += SMOOTHING * (millis - serviceMillis);
+        estimates.served(millis);
     }
 
     void openRefused(ErrorCode code) {
@@ -266,116 +270,169 @@
         long now = nowMillis();
         if (code == ErrorCode.TOO_MANY_CONNECTIONS) {
             heard();
-            openAfterMillis = now + FULL_PAUSE_MILLIS;
-            cappedUntilMillis = now + CAPPED_MILLIS;
-            cap = Math.max(1, connections.size());
-            if (connections.size() < limits.guaranteed()) {
+            budget.refusedFull(directCount(), now);
+            if (directCount() < budget.guaranteed()) {
                 events.connectionShortage(endpoint.id());
             }
         } else {
-            openAfterMillis = now + FOREIGN_PAUSE_MILLIS;
+            budget.refusedForeign(now);
             markUnreachable("refused_" + code);
         }
     }
 
     void connectionFailed(boolean opening) {
         if (opening) {
-            openAfterMillis = nowMillis() + FAILED_PAUSE_MILLIS;
+            budget.openFailed(nowMillis());
             markUnreachable("connect_failed");
-        } else if (reachable && nowMillis() >= openAfterMillis) {
+        } else if (reachable) {
             // A crash breaks all connections; a new one tells it from the loss of single ones.
             probe(nowMillis());
         }
     }
 
+    /** A connection of another VM was not lent, or no longer. */
+    void leaseEnded(Account account, boolean opening, LeaseEnd reason) {
+        switch (reason) {
+            case OVERLOADED -> {
+                if (opening) {
+                    refuseLast(account);
+                }
+            }
+            case SUSPECT -> {
+                suspectUntilMillis = nowMillis() + SUSPECT_MILLIS;
+                drainWaiting().forEach(events::requeue);
+            }
+            case UNREACHABLE -> markUnreachable("lender_does_not_reach_it");
+            default -> pump();
+        }
+    }
+
+    /** Sends a command of the VM's own; the answer is missing when no connection is available in time. */
+    void control(EndpointCommand command, long limitMillis, Consumer<Option<Reply>> done) {
+        offer(new ControlWork(endpoint.id(), command, lastAccount, nowMillis() + limitMillis, done));
+    }
+
+    /** Closes what this VM holds beyond its guaranteed share and does not use. */
+    void yieldExtra() {
+        budget.yieldExtra(nowMillis());
+    }
+
+    private Stream<PooledConnection> direct() {
+        return connections.stream().filter(PooledConnection::direct);
+    }
+
+    private int directCount() {
+        return (int) direct().count();
+    }
+
+    /** Whether this VM borrows connections to the endpoint from another one. */
+    private boolean borrows() {
+        return budget.scarce() && !leases.lender(endpoint);
+    }
+
+    private int kept(long now) {
+        return budget.kept(leases.lender(endpoint), now);
+    }
+
     private void assignIdle() {
-        for (int i = 0; i < waiting.size(); ) {
-            Work work = waiting.get(i);
+        for (Work work : waiting.all()) {
             Option<PooledConnection> idle = Option.ofOptional(connections.stream()
-                    .filter(c -> c.idle() && c.account().equals(work.account()))
+                    .filter(c -> c.idle() && c.serves(work))
                     .max(Comparator.comparingLong(PooledConnection::sinceMillis)));
-            if (idle.isEmpty()) {
-                i++;
-                continue;
-            }
-            waiting.remove(i);
-            assign(work, idle.get());
+            idle.filter(connection -> waiting.contains(work)).forEach(connection -> assign(work, connection));
         }
     }
 
     private void assign(Work work, PooledConnection connection) {
-        long since = waitingSince.remove(work);
-        Option<LogPosition> floor = work.primaryOnly() || work.control() ? Option.none() : events.floor(work);
-        if (floor.isEmpty() && !work.control() && !events.isPrimary(endpoint.id())) {
+        long waitedMillis = waiting.remove(work, nowMillis());
+        boolean pinned = work.pinnedTo().isDefined();
+        Option<LogPosition> floor = work.primaryOnly() || pinned ? Option.none() : events.floor(work);
+        if (floor.isEmpty() && !pinned && !events.isPrimary(endpoint.id())) {
             events.requeue(work);
             return;
         }
-        counters.assigned(nowMillis() - since);
+        counters.assigned(waitedMillis);
         connection.lend();
         work.assigned(connection, floor);
     }
 
     private void openMissing() {
         long now = nowMillis();
-        if (now < openAfterMillis) {
-            return;
-        }
-        Map<Account, Integer> missing = new HashMap<>();
-        for (Work work : List.copyOf(waiting)) {
-            missing.merge(work.account(), 1, Integer::sum);
+        Map<Demand, Integer> demand = new HashMap<>();
+        for (Work work : waiting.all()) {
+            boolean pinned = work.pinnedTo().isDefined();
+            int missing = demand.merge(new Demand(work.account().name(), pinned), 1, Integer::sum);
             long opening = connections.stream()
-                    .filter(c -> c.opening() && c.account().equals(work.account()))
+                    .filter(c -> c.opening() && c.serves(work))
                     .count();
-            if (opening < missing.get(work.account()) && makeRoom(now)) {
+            if (opening < missing && !borrow(work, now) && budget.mayOpen(now) && makeRoom(now)) {
                 open(work.account(), now);
             }
         }
     }
 
-    /** Connections that this VM keeps; more are opened only while all of them are lent. */
-    private int kept(long now) {
-        return now < yieldUntilMillis ? limits.guaranteed() : limits.kept();
+    private boolean borrow(Work work, long now) {
+        if (work.pinnedTo().isDefined() || !borrows()) {
+            return false;
+        }
+        PooledConnection connection = new PooledConnection(this, work.account(), now);
+        Option<BorrowedLink> lent =
+                leases.borrow(endpoint, work.account(), work.priority(), work.assignBeforeMillis() - now, connection);
+        lent.forEach(link -> {
+            connections.add(connection);
+            connection.start(link);
+        });
+        return lent.isDefined();
+    }
+
+    /** Returns borrowed connections that are not in use, and gives up requests that no work waits for. */
+    private void returnLeases() {
+        if (directCount() == connections.size()) {
+            return;
+        }
+        Map<String, Long> needed = waiting.all().stream()
+                .filter(work -> work.pinnedTo().isEmpty())
+                .collect(Collectors.groupingBy(work -> work.account().name(), HashMap::new, Collectors.counting()));
+        for (PooledConnection connection : List.copyOf(connections)) {
+            boolean surplus =
+                    connection.opening() && needed.merge(connection.account().name(), -1L, Long::sum) < 0;
+            if (!connection.direct() && (connection.idle() || surplus)) {
+                connection.discard();
+            }
+        }
+    }
+
+    private void refuseLast(Account account) {
+        List<Work> ofAccount = waiting.all().stream()
+                .filter(work ->
+                        work.pinnedTo().isEmpty() && work.account().name().equals(account.name()))
+                .toList();
+        if (!ofAccount.isEmpty()) {
+            Work last = ofAccount.get(ofAccount.size() - 1);
+            waiting.remove(last, nowMillis());
+            last.refused(ErrorCode.OVERLOADED, "more waits for endpoint " + endpoint.id() + " than it can serve");
+        }
     }
 
     /** Makes room for one more connection, if need be by closing an unused one of another account. */
     private boolean makeRoom(long now) {
-        if (connections.size() < kept(now)) {
+        if (directCount() < kept(now)) {
             return true;
         }
-        Option<PooledConnection> oldest = Option.ofOptional(connections.stream()
-                .filter(PooledConnection::idle)
-                .min(Comparator.comparingLong(PooledConnection::sinceMillis)));
+        Option<PooledConnection> oldest = Option.ofOptional(
+                direct().filter(PooledConnection::idle).min(Comparator.comparingLong(PooledConnection::sinceMillis)));
         if (oldest.isDefined()) {
             oldest.get().discard();
             counters.evicted();
             return true;
         }
-        int most = now < cappedUntilMillis ? cap : limits.endpointMax();
-        return connections.size() < most;
-    }
-
-    /** Sends a command of the VM's own; the answer is missing when no connection is available in time. */
-    void control(EndpointCommand command, long limitMillis, Consumer<Option<Reply>> done) {
-        ControlWork work = new ControlWork(command, lastAccount, nowMillis() + limitMillis, done);
-        Option<PooledConnection> idle = Option.ofOptional(
-                connections.stream().filter(PooledConnection::idle).findFirst());
-        if (idle.isDefined()) {
-            idle.get().lend();
-            work.assigned(idle.get(), Option.none());
-        } else {
-            offer(work);
-        }
-    }
-
-    /** Closes what this VM holds beyond its guaranteed share and does not use. */
-    void yieldExtra() {
-        yieldUntilMillis = nowMillis() + YIELD_MILLIS;
+        return directCount() < budget.most(now);
     }
 
     /** Finds out whether the endpoint accepts connections. */
     private void probe(long now) {
-        boolean opening = connections.stream().anyMatch(PooledConnection::opening);
-        if (!opening && now >= openAfterMillis) {
+        boolean opening = direct().anyMatch(PooledConnection::opening);
+        if (!opening && budget.mayOpen(now)) {
             open(lastAccount, now);
         }
     }
@@ -387,42 +444,30 @@
         connection.start(connector.open(endpoint, account, connection));
     }
 
-    private void expire(long now) {
-        for (Work work : List.copyOf(waiting)) {
-            if (now >= work.assignBeforeMillis()) {
-                waiting.remove(work);
-                waitingSince.remove(work);
-                work.refused(ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time");
-            }
-        }
-    }
-
     private void checkSilence(long now) {
-        Option<Long> since = Option.ofOptional(connections.stream()
-                .flatMap(c -> c.waitingSinceMillis().toJavaStream())
-                .min(Comparator.naturalOrder()));
+        Option<Long> since = Option.ofOptional(
+                direct().flatMap(c -> c.waitingSinceMillis().toJavaStream()).min(Comparator.naturalOrder()));
         long silence = since.map(from -> now - Math.max(from, lastHeardMillis)).getOrElse(0L);
         if (silence > ASK_AFTER_MILLIS && now - askedMillis > ASK_AFTER_MILLIS) {
             askedMillis = now;
-            samplePrimary();
+            sampler.sample();
         }
         if (silence > SUSPECT_MILLIS) {
             suspect = true;
-            List<Work> moved = drainWaiting();
-            moved.forEach(events::requeue);
+            drainWaiting().forEach(events::requeue);
         }
         if (silence > SILENCE_MILLIS) {
             markUnreachable("silent");
-            connections.stream()
-                    .filter(c -> c.opening() && now - c.sinceMillis() > SILENCE_MILLIS)
+            direct().filter(c -> c.opening() && now - c.sinceMillis() > SILENCE_MILLIS)
                     .toList()
                     .forEach(PooledConnection::discard);
         }
     }
 
     private void closeUnused(long now) {
-        for (PooledConnection connection : List.copyOf(connections)) {
-            boolean extra = connections.size() > kept(now);
+        int kept = kept(now);
+        for (PooledConnection connection : direct().toList()) {
+            boolean extra = directCount() > kept;
             long limit = extra ? EXTRA_IDLE_MILLIS : IDLE_MILLIS;
             if (connection.idle() && now - connection.sinceMillis() > limit) {
                 connection.discard();
@@ -447,27 +492,36 @@
                     endpoint.group(),
                     cause,
                     nowMillis() - lastHeardMillis);
+            sampler.unreachable();
             events.reachabilityChanged(endpoint.id(), false);
             drainWaiting().forEach(events::requeue);
         }
     }
 
-    private record SampleReply(PooledConnection connection, long askedMillis) implements ReplyHandler {
+    /** Connections that work needs: of which client account, and whether they must lead straight to the endpoint. */
+    private record Demand(String account, boolean direct) {}
+
+    private final class SampleReport implements PositionListener {
+
+        private final long askedAtMillis;
+
+        SampleReport(long askedAtMillis) {
+            this.askedAtMillis = askedAtMillis;
+        }
 
         @Override
-        public void replied(Reply reply) {
-            if (reply.succeeded()) {
-                reply.position().forEach(position -> connection.provenPrimary(askedMillis, position));
-                connection.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
-            } else if (reply.error().contains(ErrorCode.READ_ONLY)) {
-                connection.notPrimary();
-            }
-            connection.release();
+        public void proven(LogPosition position) {
+            events.provenPrimary(endpoint.id(), askedAtMillis, position);
+        }
+
+        @Override
+        public void notPrimary() {
+            events.notPrimary(endpoint.id());
         }
 
         @Override
-        public void lost() {
-            // The pool counts the failure of the connection.
+        public void unreachable() {
+            markUnreachable("lender_does_not_reach_it");
         }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
@@ -8,6 +8,7 @@
  *
  * @param dataCentre data centre of this VM
  * @param connector opens connections
+ * @param leases connections that other VMs lend
  * @param decoder reads answers to status queries
  * @param shortage told group and endpoint when an endpoint refuses what the VM's guaranteed share includes
  * @param clock milliseconds of the monotonic clock
@@ -16,6 +17,7 @@
 public record GroupContext(
         String dataCentre,
         EndpointConnector connector,
+        LeaseSource leases,
         StatusDecoder decoder,
         BiConsumer<String, String> shortage,
         LongSupplier clock,
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 
@@ -31,13 +32,18 @@
      * @param vms number of VMs that share the endpoints' connections
      */
     public void update(Catalog catalog, Collection<Endpoint> endpoints, int vms) {
+        int accounts = (int) catalog.accounts().values().stream()
+                .map(Account::name)
+                .distinct()
+                .count();
+        Sharing sharing = new Sharing(vms, accounts);
         catalog.groups().values().forEach(declared -> groups.computeIfAbsent(
-                        declared.name(), name -> new DatabaseGroup(declared, vms, context))
-                .update(declared, vms, members(endpoints, declared.name())));
+                        declared.name(), name -> new DatabaseGroup(declared, context))
+                .update(declared, sharing, members(endpoints, declared.name())));
         for (String name : List.copyOf(groups.keySet())) {
             if (!catalog.groups().containsKey(name)) {
                 DatabaseGroup removed = groups.remove(name);
-                removed.update(removed.declaration(), vms, List.of());
+                removed.update(removed.declaration(), sharing, List.of());
             }
         }
     }
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/LatencyEstimates.java
@@ -0,0 +1,43 @@
+package org.hyssopswitch.pool.endpoint;
+
+/** Smoothed times that an endpoint and its lender take. */
+final class LatencyEstimates {
+
+    private static final double SMOOTHING = 0.1;
+    private static final double FIRST_SERVICE_MILLIS = 10;
+    private static final double FIRST_OPEN_MILLIS = 15;
+    private static final double FIRST_LEASE_MILLIS = 3;
+
+    /** Time in which an estimate of a lease falls to a third without new ones, so that its endpoint is tried again. */
+    private static final double LEASE_DECAY_MILLIS = 500;
+
+    private double serviceMillis = FIRST_SERVICE_MILLIS;
+    private double openMillis = FIRST_OPEN_MILLIS;
+    private double leaseMillis = FIRST_LEASE_MILLIS;
+    private long leasedMillis;
+
+    double serviceMillis() {
+        return serviceMillis;
+    }
+
+    double openMillis() {
+        return openMillis;
+    }
+
+    double leaseMillis(long nowMillis) {
+        return leaseMillis * Math.exp((leasedMillis - nowMillis) / LEASE_DECAY_MILLIS);
+    }
+
+    void served(long millis) {
+        serviceMillis += SMOOTHING * (millis - serviceMillis);
+    }
+
+    void opened(long millis) {
+        openMillis += SMOOTHING * (millis - openMillis);
+    }
+
+    void leased(long millis, long nowMillis) {
+        leaseMillis += SMOOTHING * (millis - leaseMillis);
+        leasedMillis = nowMillis;
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
@@ -7,6 +7,8 @@
     private long waitedMillis;
     private long opened;
     private long openMillis;
+    private long leased;
+    private long leaseMillis;
     private long openRefused;
     private long evicted;
 
@@ -20,6 +22,11 @@
         openMillis += afterMillis;
     }
 
+    void leased(long afterMillis) {
+        leased++;
+        leaseMillis += afterMillis;
+    }
+
     void openRefused() {
         openRefused++;
     }
@@ -31,11 +38,15 @@
     /** Writes the counters as fields of a log line and starts again at zero. */
     String takeReport() {
         String report = "assigned=" + assigned + " wait_ms_mean=" + mean(waitedMillis, assigned) + " opened=" + opened
-                + " open_ms_mean=" + mean(openMillis, opened) + " open_refused=" + openRefused + " evicted=" + evicted;
+                + " open_ms_mean=" + mean(openMillis, opened) + " leased=" + leased + " lease_ms_mean="
+                + mean(leaseMillis, leased)
+                + " open_refused=" + openRefused + " evicted=" + evicted;
         assigned = 0;
         waitedMillis = 0;
         opened = 0;
         openMillis = 0;
+        leased = 0;
+        leaseMillis = 0;
         openRefused = 0;
         evicted = 0;
         return report;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
@@ -6,14 +6,22 @@
  * @param endpointMax connections that the endpoint accepts from all VMs, 1 or more
  * @param guaranteed connections that this VM may hold at any time; 0 when VMs outnumber the endpoint's connections
  * @param kept connections that this VM keeps while no other VM lacks any, at least the guaranteed ones
+ * @param lent connections that a VM keeps which lends them to the others
+ * @param scarce whether VMs borrow connections, because the endpoint accepts too few for all of them
  */
-record PoolLimits(int endpointMax, int guaranteed, int kept) {
+record PoolLimits(int endpointMax, int guaranteed, int kept, int lent, boolean scarce) {
 
     /** Part of the connections of a replica that the VMs of its own data centre keep; they read there most. */
     private static final double LOCAL_PART = 0.5;
 
+    /** Part of an endpoint's connections that its lender keeps; the rest is for VMs that do not reach the lender. */
+    private static final double LENT_PART = 0.9;
+
+    /** Part of the client accounts for which a VM must be able to keep a connection to do without a lender. */
+    private static final double SERVED_ACCOUNTS_PART = 0.25;
+
     PoolLimits {
-        if (endpointMax < 1 || guaranteed < 0 || kept < guaranteed) {
+        if (endpointMax < 1 || guaranteed < 0 || kept < guaranteed || lent < 1) {
             throw new IllegalArgumentException("an endpoint must accept 1 connection or more, grant this VM 0 or more,"
                     + " and this VM must keep no fewer, but the limits are " + endpointMax + ", " + guaranteed + " and "
                     + kept);
@@ -26,10 +34,15 @@
      * @param endpointMax connections that the endpoint accepts
      * @param vms number of VMs
      * @param localVms number of VMs in the endpoint's data centre, if it is a replica in this VM's; 0 otherwise
+     * @param accounts number of client accounts
      */
-    static PoolLimits of(int endpointMax, int vms, int localVms) {
-        int guaranteed = endpointMax / Math.max(1, vms);
+    static PoolLimits of(int endpointMax, int vms, int localVms, int accounts) {
+        int lent = Math.max(1, (int) (endpointMax * LENT_PART));
+        int share = endpointMax / Math.max(1, vms);
+        if (share < accounts * SERVED_ACCOUNTS_PART) {
+            return new PoolLimits(endpointMax, 0, 0, lent, true);
+        }
         int local = localVms > 0 ? (int) (endpointMax * LOCAL_PART / localVms) : 0;
-        return new PoolLimits(endpointMax, guaranteed, Math.max(guaranteed, local));
+        return new PoolLimits(endpointMax, share, Math.max(share, local), lent, false);
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -49,6 +49,10 @@
      * @param shape the prepared statement to execute next
      */
     public void adopt(Map<String, String> wanted, Option<PreparedShape> shape) {
+        if (link instanceof BorrowedLink borrowed) {
+            borrowed.adopt(wanted, shape);
+            return;
+        }
         List<EndpointCommand> commands = new ArrayList<>();
         if (!wanted.keySet().containsAll(values.keySet())) {
             commands.add(new EndpointCommand.Reset());
@@ -118,9 +122,16 @@
 
     @Override
     public void opened(Option<LogPosition> position) {
-        pool.heard();
+        if (direct()) {
+            pool.heard();
+        }
         if (state == State.OPENING) {
-            pool.openedAfter(pool.nowMillis() - sinceMillis);
+            long tookMillis = pool.nowMillis() - sinceMillis;
+            if (direct()) {
+                pool.openedAfter(tookMillis);
+            } else {
+                pool.leasedAfter(tookMillis);
+            }
             state = State.IDLE;
             sinceMillis = pool.nowMillis();
             pool.pump();
@@ -162,6 +173,30 @@
         pool.connectionFailed(opening);
     }
 
+    @Override
+    public void leaseEnded(LeaseEnd reason) {
+        if (state == State.CLOSED) {
+            return;
+        }
+        boolean opening = state == State.OPENING;
+        end();
+        pool.leaseEnded(account, opening, reason);
+    }
+
+    /** Whether it leads straight to the endpoint, not through another VM. */
+    boolean direct() {
+        return !(link instanceof BorrowedLink);
+    }
+
+    boolean serves(Account other) {
+        return account.name().equals(other.name());
+    }
+
+    boolean serves(Work work) {
+        boolean pinned = work.pinnedTo().isDefined();
+        return (direct() || !pinned) && (work.anyAccount() || serves(work.account()));
+    }
+
     void start(EndpointLink opened) {
         link = opened;
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Work.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Work.java
@@ -17,8 +17,13 @@
     /** Whether only the primary may run it. */
     boolean primaryOnly();
 
-    /** Whether it is a command of the VM's own, for which no log position matters. */
-    default boolean control() {
+    /** The only endpoint that may run it; no log position matters to it, and its connection is never a borrowed one. */
+    default Option<String> pinnedTo() {
+        return Option.none();
+    }
+
+    /** Whether a connection of any client account serves it. */
+    default boolean anyAccount() {
         return false;
     }
 
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionLender.java
@@ -0,0 +1,192 @@
+package org.hyssopswitch.pool.lease;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.catalog.Account;
+import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.endpoint.LeaseEnd;
+import org.hyssopswitch.pool.endpoint.PositionListener;
+import org.hyssopswitch.pool.peer.LeaseCommand;
+import org.hyssopswitch.pool.peer.LeaseEnded;
+import org.hyssopswitch.pool.peer.LeaseGrant;
+import org.hyssopswitch.pool.peer.LeaseReply;
+import org.hyssopswitch.pool.peer.LeaseRequest;
+import org.hyssopswitch.pool.peer.LeaseReturn;
+import org.hyssopswitch.pool.peer.LenderPing;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.PositionAnswer;
+import org.hyssopswitch.pool.peer.PositionQuery;
+
+/**
+ * Lends this VM's connections to other VMs, one operation at a time.
+ *
+ * <p>All operations of an endpoint thus wait in one queue, and connections are used again by the next operation of the
+ * same client account, whichever VM it comes from.
+ */
+public final class ConnectionLender {
+
+    /** Time without a command after which a lent connection is taken back, milliseconds: its borrower is gone. */
+    private static final long UNUSED_MILLIS = 10_000;
+
+    /** Leases at most; what lies beyond is refused at once. */
+    private static final int MAX_LEASES = 2_000;
+
+    private final Groups groups;
+    private final LongSupplier clock;
+    private final Map<Key, Lease> leases = new HashMap<>();
+    private PeerLinks peers;
+    private boolean stopping;
+
+    /**
+     * Creates a lender.
+     *
+     * @param groups the database groups
+     * @param peers the other VMs
+     * @param clock milliseconds of the monotonic clock
+     */
+    public ConnectionLender(Groups groups, PeerLinks peers, LongSupplier clock) {
+        this.groups = groups;
+        this.peers = peers;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends over whom messages are exchanged from now on.
+     *
+     * @param links the other VMs
+     */
+    public void connect(PeerLinks links) {
+        peers = links;
+    }
+
+    /** Lends no further connections; those that are lent are left to their borrowers. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /**
+     * Takes a message of a VM.
+     *
+     * @param vm name of the sender
+     * @param message the message
+     */
+    public void received(String vm, PeerMessage message) {
+        if (message instanceof LeaseRequest request) {
+            lend(new Key(vm, request.lease()), request);
+        } else if (message instanceof LeaseCommand command) {
+            Key key = new Key(vm, command.lease());
+            Option.of(leases.get(key)).peek(lease -> lease.run(command)).onEmpty(() -> end(key, LeaseEnd.BROKEN));
+        } else if (message instanceof LeaseReturn returned) {
+            Option.of(leases.remove(new Key(vm, returned.lease()))).forEach(Lease::giveBack);
+        } else if (message instanceof LenderPing ping && !ping.reply()) {
+            peers.send(vm, new LenderPing(true));
+        } else if (message instanceof PositionQuery query) {
+            groups.find(query.group()).forEach(group -> group.askPosition(query.endpoint(), new Answer(vm, query)));
+        }
+    }
+
+    /** Connections that are lent or asked for. */
+    public int size() {
+        return leases.size();
+    }
+
+    /** Takes back connections whose borrowers are gone; called every few milliseconds. */
+    public void tick() {
+        long now = clock.getAsLong();
+        for (Map.Entry<Key, Lease> entry : List.copyOf(leases.entrySet())) {
+            if (now - entry.getValue().usedMillis() > UNUSED_MILLIS) {
+                leases.remove(entry.getKey());
+                entry.getValue().giveBack();
+                end(entry.getKey(), LeaseEnd.BROKEN);
+            }
+        }
+    }
+
+    private void lend(Key key, LeaseRequest request) {
+        if (stopping) {
+            end(key, LeaseEnd.NO_LENDER);
+            return;
+        }
+        if (leases.size() >= MAX_LEASES) {
+            end(key, LeaseEnd.OVERLOADED);
+            return;
+        }
+        Account account = new Account(request.account(), Option.none());
+        Lease lease = new Lease(request, account, new Borrower(key), clock);
+        leases.put(key, lease);
+        Option<LeaseEnd> refusal = groups.find(request.group())
+                .map(group -> group.lend(request.endpoint(), lease))
+                .getOrElse(Option.some(LeaseEnd.NO_LENDER));
+        refusal.forEach(reason -> {
+            leases.remove(key);
+            end(key, reason);
+        });
+    }
+
+    private void end(Key key, LeaseEnd reason) {
+        peers.send(key.vm(), new LeaseEnded(key.lease(), reason));
+    }
+
+    private record Key(String vm, long lease) {}
+
+    /** Tells a borrower what becomes of its lease. */
+    private final class Borrower implements Lease.Events {
+
+        private final Key key;
+
+        Borrower(Key key) {
+            this.key = key;
+        }
+
+        @Override
+        public void granted() {
+            peers.send(key.vm(), new LeaseGrant(key.lease()));
+        }
+
+        @Override
+        public void replied(LeaseReply reply) {
+            peers.send(key.vm(), reply);
+        }
+
+        @Override
+        public void ended(String group, String endpointId, LeaseEnd otherwise) {
+            leases.remove(key);
+            end(
+                    key,
+                    groups.find(group)
+                            .flatMap(found -> found.refusal(endpointId))
+                            .getOrElse(otherwise));
+        }
+    }
+
+    private final class Answer implements PositionListener {
+
+        private final String vm;
+        private final PositionQuery query;
+
+        Answer(String vm, PositionQuery query) {
+            this.vm = vm;
+            this.query = query;
+        }
+
+        @Override
+        public void proven(LogPosition position) {
+            peers.send(vm, new PositionAnswer(query.query(), true, Option.some(position)));
+        }
+
+        @Override
+        public void notPrimary() {
+            peers.send(vm, new PositionAnswer(query.query(), true, Option.none()));
+        }
+
+        @Override
+        public void unreachable() {
+            peers.send(vm, new PositionAnswer(query.query(), false, Option.none()));
+        }
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.peer.GrizzlyPeerTransport;
@@ -28,6 +29,7 @@
     private final DecisionLoop loop;
     private final Random random;
     private final BiConsumer<String, PeerMessage> receiver;
+    private final Consumer<String> linkFailed;
     private final VmAddress self;
     private final PeerTransport transport;
     private final Map<String, VmAddress> addresses = new HashMap<>();
@@ -39,12 +41,18 @@
      * @param loop the decision thread
      * @param random chooses recipients
      * @param receiver takes messages with the sender's name, on the decision thread
+     * @param linkFailed told the name of a VM to which messages may have been lost, on the decision thread
      */
     public DefaultPeerLinks(
-            PeerOptions options, DecisionLoop loop, Random random, BiConsumer<String, PeerMessage> receiver) {
+            PeerOptions options,
+            DecisionLoop loop,
+            Random random,
+            BiConsumer<String, PeerMessage> receiver,
+            Consumer<String> linkFailed) {
         this.loop = loop;
         this.random = random;
         this.receiver = receiver;
+        this.linkFailed = linkFailed;
         GrizzlyPeerTransport bound = new GrizzlyPeerTransport(
                 options, registry(), new Inbound(), new MetricRegistry(), random, loop::nowMillis);
         this.transport = bound;
@@ -96,6 +104,15 @@
                 .register(113, PrimaryReport.class)
                 .register(114, DutyPing.class)
                 .register(115, DutyPong.class)
+                .register(116, LeaseRequest.class)
+                .register(117, LeaseGrant.class)
+                .register(118, LeaseEnded.class)
+                .register(119, LeaseReturn.class)
+                .register(120, LeaseCommand.class)
+                .register(121, LeaseReply.class)
+                .register(122, LenderPing.class)
+                .register(123, PositionQuery.class)
+                .register(124, PositionAnswer.class)
                 .build();
     }
 
@@ -114,7 +131,7 @@
 
         @Override
         public void linkFailed(VmAddress to) {
-            // Every use of a link has a time limit of its own.
+            loop.execute(() -> linkFailed.accept(to.vm().value()));
         }
     }
 }
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeaseEnded.java
@@ -0,0 +1,12 @@
+package org.hyssopswitch.pool.peer;
+
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.endpoint.LeaseEnd;
+
+/**
+ * The lender does not lend a connection, or no longer.
+ *
+ * @param lease the borrower's number
+ * @param reason why
+ */
+public record LeaseEnded(long lease, LeaseEnd reason) implements PeerMessage {}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeaseGrant.java
@@ -0,0 +1,10 @@
+package org.hyssopswitch.pool.peer;
+
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * A connection is lent until the borrower returns it.
+ *
+ * @param lease the borrower's number
+ */
+public record LeaseGrant(long lease) implements PeerMessage {}
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeaseReturn.java
@@ -0,0 +1,10 @@
+package org.hyssopswitch.pool.peer;
+
+import org.hyssopswitch.core.message.PeerMessage;
+
+/**
+ * The borrower returns a connection or gives up its request.
+ *
+ * @param lease the borrower's number
+ */
+public record LeaseReturn(long lease) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/DrainRun.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/DrainRun.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.vm;
 
+import java.util.function.IntSupplier;
 import org.hyssopswitch.pool.session.Sessions;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
@@ -21,13 +22,15 @@
     private static final int CLOSED_PER_STEP = 4;
 
     private final DecisionLoop loop;
+    private final IntSupplier unfinished;
     private final Sessions sessions;
     private final long graceMillis;
     private final Runnable done;
     private final long startMillis;
 
-    DrainRun(DecisionLoop loop, Sessions sessions, long graceMillis, Runnable done) {
+    DrainRun(DecisionLoop loop, IntSupplier unfinished, Sessions sessions, long graceMillis, Runnable done) {
         this.loop = loop;
+        this.unfinished = unfinished;
         this.sessions = sessions;
         this.graceMillis = graceMillis;
         this.done = done;
@@ -45,7 +48,7 @@
             sessions.abortIdleTransactions("the VM is stopping");
         }
         sessions.closeIdle(halfway ? Integer.MAX_VALUE : CLOSED_PER_STEP);
-        boolean empty = halfway && sessions.size() == 0;
+        boolean empty = halfway && unfinished.getAsInt() == 0;
         if (empty || elapsed > graceMillis - RESERVE_MILLIS) {
             done.run();
         } else {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/Fleet.java
@@ -6,10 +6,10 @@
 import java.security.SecureRandom;
 import java.util.Base64;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -51,10 +51,11 @@
     private final DecisionLoop loop;
     private final BiConsumer<String, PeerMessage> receiver;
     private final Consumer<PeerLinks> connected;
-    private final Consumer<Set<String>> changed;
+    private final Consumer<Map<String, String>> changed;
+    private final Consumer<String> linkFailed;
     private Option<DefaultPeerLinks> links = Option.none();
     private List<Stored<VmEntry>> listed = List.of();
-    private Set<String> names = Set.of();
+    private Map<String, String> dataCentres = Map.of();
     private int lists;
 
     /**
@@ -63,17 +64,20 @@
      * @param ports the way to the outside
      * @param receiver takes messages of other VMs
      * @param connected told once messages can be sent
-     * @param changed told the names of all VMs, this one included
+     * @param linkFailed told the name of a VM to which messages may have been lost
+     * @param changed told the data centre of all VMs by name, this one included
      */
     Fleet(
             VmPorts ports,
             BiConsumer<String, PeerMessage> receiver,
             Consumer<PeerLinks> connected,
-            Consumer<Set<String>> changed) {
+            Consumer<String> linkFailed,
+            Consumer<Map<String, String>> changed) {
         this.ports = ports;
         this.loop = ports.loop();
         this.receiver = receiver;
         this.connected = connected;
+        this.linkFailed = linkFailed;
         this.changed = changed;
     }
 
@@ -118,7 +122,8 @@
                 self.port(),
                 secret.secret().getBytes(StandardCharsets.UTF_8),
                 PeerOptions.Limits.DEFAULT);
-        DefaultPeerLinks opened = new DefaultPeerLinks(options, loop, new Random(self.incarnation()), receiver);
+        DefaultPeerLinks opened =
+                new DefaultPeerLinks(options, loop, new Random(self.incarnation()), receiver, linkFailed);
         links = Option.some(opened);
         opened.update(addresses(listed));
         connected.accept(opened);
@@ -151,25 +156,31 @@
 
     private void requestList() {
         // A VM that starts must know all that started before it.
-        ports.vms().list(!names.isEmpty(), result -> result.peek(this::listed).peekLeft(failure -> {
-            LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe());
-            if (names.isEmpty()) {
-                loop.schedule(RETRY_MILLIS, this::requestList);
-            }
-        }));
+        ports.vms().list(!dataCentres.isEmpty(), result -> result.peek(this::listed)
+                .peekLeft(failure -> {
+                    LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe());
+                    if (dataCentres.isEmpty()) {
+                        loop.schedule(RETRY_MILLIS, this::requestList);
+                    }
+                }));
     }
 
     private void listed(Listing<VmEntry> listing) {
         List<Stored<VmEntry>> known = listing.objects().stream()
                 .filter(stored -> stored.value().isDefined())
                 .toList();
-        Set<String> now = new TreeSet<>(List.of(ports.name()));
-        known.forEach(stored -> now.add(stored.name()));
+        Map<String, String> now = new HashMap<>();
+        now.put(ports.name(), ports.self().dataCentre());
+        known.forEach(stored -> now.put(stored.name(), stored.value().get().dataCentre()));
         listed = known;
         links.forEach(opened -> opened.update(addresses(known)));
-        if (!now.equals(names)) {
-            LOG.info("event=fleet_changed from={} to={} revision={}", names.size(), now.size(), listing.revision());
-            names = now;
+        if (!now.equals(dataCentres)) {
+            LOG.info(
+                    "event=fleet_changed from={} to={} revision={}",
+                    dataCentres.size(),
+                    now.size(),
+                    listing.revision());
+            dataCentres = now;
             changed.accept(now);
         }
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -15,8 +15,13 @@
 import org.hyssopswitch.pool.endpoint.GroupContext;
 import org.hyssopswitch.pool.endpoint.Groups;
 import org.hyssopswitch.pool.failover.PromotionSystem;
+import org.hyssopswitch.pool.lease.ConnectionBorrower;
+import org.hyssopswitch.pool.lease.ConnectionLender;
 import org.hyssopswitch.pool.peer.ConnectionShortage;
+import org.hyssopswitch.pool.peer.DutyPing;
+import org.hyssopswitch.pool.peer.DutyPong;
 import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.PrimaryReport;
 import org.hyssopswitch.pool.peer.TokenGift;
 import org.hyssopswitch.pool.peer.TokenNeed;
 import org.hyssopswitch.pool.quota.AccountLimiter;
@@ -48,6 +53,8 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final DecisionLoop loop;
     private final EndpointDirectory directory;
+    private final ConnectionBorrower borrower;
+    private final ConnectionLender lender;
     private final Groups groups;
     private final AccountLimiter limiter;
     private final Sessions sessions;
@@ -69,17 +76,20 @@
         this.loop = ports.loop();
         this.directory = new EndpointDirectory(loop::nowMillis);
         this.peers = new NoPeerLinks();
+        this.borrower = new ConnectionBorrower(ports.name(), peers, ports.random(), loop::nowMillis);
         this.groups = new Groups(new GroupContext(
                 ports.self().dataCentre(),
                 ports.connector(),
+                borrower,
                 ports.decoder(),
                 (group, endpoint) -> peers.sendToSome(new ConnectionShortage(group, endpoint)),
                 loop::nowMillis,
                 ports.timeOfDay()));
+        this.lender = new ConnectionLender(groups, peers, loop::nowMillis);
         this.limiter = new AccountLimiter(peers, loop::nowMillis);
         this.promotions = new PromotionSystem(
                 ports.name(), groups, ports.authority(), ports.duties(), loop, ports.random(), peers);
-        this.fleet = new Fleet(ports, this::received, this::connected, this::fleetChanged);
+        this.fleet = new Fleet(ports, this::received, this::connected, borrower::linkFailed, this::fleetChanged);
         this.sessions = new Sessions(
                 groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
         metrics.gauge("sessions", () -> sessions::size);
@@ -135,7 +145,9 @@
         draining = true;
         loop.execute(() -> {
             LOG.info("event=drain_started sessions={} grace_ms={}", sessions.size(), graceMillis);
-            new DrainRun(loop, sessions, graceMillis, () -> done.complete(true)).start();
+            lender.stop();
+            new DrainRun(loop, () -> sessions.size() + lender.size(), sessions, graceMillis, () -> done.complete(true))
+                    .start();
         });
         return done;
     }
@@ -146,6 +158,8 @@
             apply();
         }
         limiter.tick();
+        borrower.tick();
+        lender.tick();
         groups.tick();
         sessions.tick();
         promotions.tick();
@@ -167,8 +181,11 @@
             limiter.giftReceived(gift);
         } else if (message instanceof ConnectionShortage shortage) {
             groups.find(shortage.group()).forEach(group -> group.yieldConnections(shortage.endpoint()));
-        } else {
+        } else if (message instanceof PrimaryReport || message instanceof DutyPing || message instanceof DutyPong) {
             promotions.received(vm, message);
+        } else {
+            borrower.received(vm, message);
+            lender.received(vm, message);
         }
     }
 
@@ -176,11 +193,14 @@
         peers = links;
         limiter.connect(links);
         promotions.connect(links);
+        borrower.connect(links);
+        lender.connect(links);
     }
 
-    private void fleetChanged(Set<String> names) {
-        vms = names;
-        promotions.fleetSize(names.size());
+    private void fleetChanged(Map<String, String> dataCentres) {
+        vms = dataCentres.keySet();
+        borrower.update(dataCentres);
+        promotions.fleetSize(vms.size());
         apply();
     }
 
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
@@ -27,6 +29,7 @@
 
     private final ManualLoop loop;
     private final List<String> ran = new ArrayList<>();
+    private final Map<String, Map<String, String>> valuesAt = new HashMap<>();
     private final List<Link> links = new ArrayList<>();
     private final int maxConnections;
     private final String id;
@@ -59,6 +62,11 @@
         return List.copyOf(ran);
     }
 
+    /** The session values under which a statement ran. */
+    public Map<String, String> valuesAt(String statementId) {
+        return valuesAt.get(statementId);
+    }
+
     /** Connections opened so far. */
     public int opened() {
         return opened;
@@ -173,6 +181,7 @@
 
         private final Listener listener;
         private final Set<PreparedShape> prepared = new HashSet<>();
+        private final Map<String, String> values = new HashMap<>();
         private TransactionStatus status = TransactionStatus.IDLE;
         private boolean closed;
         private boolean readWrite;
@@ -237,6 +246,11 @@
             }
             if (command instanceof EndpointCommand.Reset) {
                 prepared.clear();
+                values.clear();
+                return Outcome.Success.LOCAL;
+            }
+            if (command instanceof EndpointCommand.SetValue set) {
+                values.put(set.name(), set.value());
                 return Outcome.Success.LOCAL;
             }
             if (command instanceof EndpointCommand.Forward forward) {
@@ -283,6 +297,7 @@
                 return failed(ErrorCode.LAGGING);
             }
             ran.add(statementId);
+            valuesAt.put(statementId, Map.copyOf(values));
             wrote |= write;
             if (text.startsWith("COMMIT") || (write && !open)) {
                 status = TransactionStatus.IDLE;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakePeers.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakePeers.java
@@ -18,6 +18,7 @@
     private final ManualLoop loop;
     private final Map<String, BiConsumer<String, PeerMessage>> receivers = new LinkedHashMap<>();
     private final Set<String> cut = new HashSet<>();
+    private final Set<Class<? extends PeerMessage>> dropped = new HashSet<>();
 
     /** Creates a network without VMs. */
     public FakePeers(ManualLoop loop) {
@@ -39,6 +40,11 @@
         }
     }
 
+    /** Loses the next message of a type. */
+    public void dropNext(Class<? extends PeerMessage> type) {
+        dropped.add(type);
+    }
+
     private final class Links implements PeerLinks {
 
         private final String self;
@@ -49,6 +55,9 @@
 
         @Override
         public void send(String vm, PeerMessage message) {
+            if (dropped.remove(message.getClass())) {
+                return;
+            }
             loop.schedule(DELIVERY_MILLIS, () -> {
                 BiConsumer<String, PeerMessage> receiver = receivers.get(vm);
                 if (receiver != null && !cut.contains(vm) && !cut.contains(self)) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -17,6 +17,7 @@
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
 import org.hyssopswitch.pool.endpoint.GroupContext;
 import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.endpoint.LeaseSource;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.session.RequestLog;
@@ -61,6 +62,7 @@
         groups = new Groups(new GroupContext(
                 "dc-e2",
                 (endpoint, account, listener) -> endpoints.get(endpoint.id()).connect(account, listener),
+                LeaseSource.NONE,
                 FakeEndpoint::decode,
                 (group, endpoint) -> shortages.add(endpoint),
                 loop::nowMillis,
