Ask one VM after the other for operations of a client account in a large fleet

Cause: each VM asked all eight VMs that share a rate, for every account, every 100 ms and every 15 ms while an operation waited; with 77 accounts that is a message from nearly every VM to every other. Besides, an operation that lacked less than a quarter was never asked for and was refused, and a borrower asked for operations that it then lost unused.

Change: in a fleet of more than eight VMs one of the sharing VMs is asked at a time, each in turn, at once for what waits and every 500 ms for demand that lasts. A giver hands over one whole operation if it has one. Small fleets ask as before, at the urgent period only for accounts whose operations wait.

Ruled out: fewer sharing VMs, because a VM that is gone takes its part of the rate with it.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -27,6 +27,9 @@
     /** Period in which spare operations are asked for, milliseconds: a fraction of a second's rate. */
     private static final long ASK_PERIOD_MILLIS = 100;
 
+    /** The same in a fleet of which only some VMs share a rate, milliseconds; what runs out is asked for at once. */
+    private static final long LARGE_FLEET_ASK_PERIOD_MILLIS = 500;
+
     /** Shortest time between two requests when operations run out, milliseconds. */
     private static final long URGENT_PERIOD_MILLIS = 15;
 
@@ -39,7 +42,9 @@
     private final LongSupplier clock;
     private final Map<String, AccountShare> shares = new HashMap<>();
     private PeerLinks peers;
+    private boolean largeFleet;
     private long askedMillis;
+    private long askedForWaitingMillis;
 
     /**
      * Creates a limiter that knows no account.
@@ -51,6 +56,7 @@
         this.peers = peers;
         this.clock = clock;
         this.askedMillis = clock.getAsLong();
+        this.askedForWaitingMillis = askedMillis;
     }
 
     /**
@@ -62,6 +68,7 @@
      */
     public void update(Catalog catalog, String self, Collection<String> vms) {
         long now = clock.getAsLong();
+        largeFleet = vms.size() > SHARING_VMS;
         Map<String, Rate> limits = new HashMap<>();
         catalog.accounts().values().forEach(account -> account.limit()
                 .forEach(rate -> limits.put(account.name(), rate)));
@@ -74,7 +81,7 @@
             int part = sharing.contains(self) ? sharing.size() : 0;
             List<String> others =
                     sharing.stream().filter(vm -> !vm.equals(self)).toList();
-            shares.computeIfAbsent(name, key -> new AccountShare(now)).resize(rate, part, others, now);
+            shares.computeIfAbsent(name, key -> new AccountShare((int) RendezvousUtils.score(name, self), now)).resize(rate, part, others, now);
         });
     }
 
@@ -101,19 +108,19 @@
             admission.admitted();
             return;
         }
-        if (now - askedMillis >= URGENT_PERIOD_MILLIS) {
-            ask(now);
-        }
         share.waitOrRefuse(admission, now, maxWaitMillis);
+        askForWaiting(now);
     }
 
     /** Admits or refuses what waits and asks for spare operations; called every few milliseconds. */
     public void tick() {
         long now = clock.getAsLong();
         shares.values().forEach(share -> share.settle(now));
-        boolean urgent = shares.values().stream().anyMatch(AccountShare::operationsWait);
-        if (now - askedMillis >= (urgent ? URGENT_PERIOD_MILLIS : ASK_PERIOD_MILLIS)) {
-            ask(now);
+        if (now - askedMillis >= (largeFleet ? LARGE_FLEET_ASK_PERIOD_MILLIS : ASK_PERIOD_MILLIS)) {
+            askedMillis = now;
+            ask(shares, now);
+        } else {
+            askForWaiting(now);
         }
     }
 
@@ -153,15 +160,32 @@
         });
     }
 
-    private void ask(long now) {
-        askedMillis = now;
-        Map<String, Map<String, Double>> wanted = new HashMap<>();
+    /** Asks for what operations wait for. */
+    private void askForWaiting(long now) {
+        if (now - askedForWaitingMillis < URGENT_PERIOD_MILLIS) {
+            return;
+        }
+        Map<String, AccountShare> waiting = new HashMap<>();
         shares.forEach((name, share) -> {
+            if (share.operationsWait()) {
+                waiting.put(name, share);
+            }
+        });
+        if (!waiting.isEmpty()) {
+            askedForWaitingMillis = now;
+            ask(waiting, now);
+        }
+    }
+
+    /** Asks all that share an account's rate; in a large fleet one of them after the other. */
+    private void ask(Map<String, AccountShare> forShares, long now) {
+        Map<String, Map<String, Double>> wanted = new HashMap<>();
+        forShares.forEach((name, share) -> {
             double missing = share.missing(now);
-            List<String> others = share.others();
-            if (missing > 0 && !others.isEmpty()) {
-                double each = missing * Math.min(others.size(), OVERASK) / others.size();
-                others.forEach(
+            if (missing > 0) {
+                List<String> asked = largeFleet ? share.nextOther().toJavaList() : share.others();
+                double each = missing * Math.min(asked.size(), OVERASK) / Math.max(1, asked.size());
+                asked.forEach(
                         vm -> wanted.computeIfAbsent(vm, key -> new HashMap<>()).put(name, each));
             }
         });
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.quota;
 
+import io.vavr.control.Option;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -39,10 +40,18 @@
     private long demandMillis;
     private double fleetRate;
     private List<String> others = List.of();
+    private int turn;
     private boolean borrower;
     private long usedMillis;
 
-    AccountShare(long nowMillis) {
+    /**
+     * Creates a share without operations.
+     *
+     * @param firstTurn which of the others is asked first; should differ between VMs
+     * @param nowMillis milliseconds of the monotonic clock
+     */
+    AccountShare(int firstTurn, long nowMillis) {
+        this.turn = firstTurn;
         this.bucket = new TokenBucket(0, 0, nowMillis);
         this.demandMillis = nowMillis;
     }
@@ -71,6 +80,15 @@
         return others;
     }
 
+    /** One of the others, each in turn. */
+    Option<String> nextOther() {
+        if (others.isEmpty()) {
+            return Option.none();
+        }
+        turn = Math.floorMod(turn + 1, others.size());
+        return Option.some(others.get(turn));
+    }
+
     boolean tryTake(long nowMillis) {
         decayDemand(nowMillis);
         usedMillis = nowMillis;
@@ -115,13 +133,13 @@
     /** Operations that are likely to be asked for soon and are not at hand. */
     double missing(long nowMillis) {
         double missing = wanted(nowMillis) - bucket.tokens(nowMillis);
-        return missing < LEAST_MISSING ? 0 : missing;
+        return missing < LEAST_MISSING && waiting.isEmpty() ? 0 : Math.max(0, missing);
     }
 
-    /** Hands over up to half of what this VM will not need soon. */
+    /** Hands over up to half of what this VM will not need soon, and one whole operation if there is one. */
     double give(double wanted, long nowMillis) {
         double spare = bucket.tokens(nowMillis) - wanted(nowMillis);
-        return spare <= 0 ? 0 : bucket.withdraw(Math.min(wanted, spare / 2), nowMillis);
+        return spare <= 0 ? 0 : bucket.withdraw(Math.min(wanted, Math.max(spare / 2, Math.min(1, spare))), nowMillis);
     }
 
     void take(double tokens, long nowMillis) {
@@ -135,7 +153,9 @@
     private double wanted(long nowMillis) {
         decayDemand(nowMillis);
         double ahead = demandPerMilli * AHEAD_MILLIS;
-        return waiting.size() + ahead + (ahead > SMALL_DEMAND ? 1 : 0);
+        boolean large = ahead > SMALL_DEMAND;
+        // What a borrower asks for and does not use is lost to the account.
+        return waiting.size() + (borrower && !large ? 0 : ahead) + (large ? 1 : 0);
     }
 
     private long retryAfterMillis(long nowMillis) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
@@ -37,6 +37,7 @@
     private int vms = 6;
     private int admitted;
     private int refused;
+    private int sent;
 
     @Test
     void admitsAnAccountWithinItsRateWhoseCallersAreAllAtOneVm() {
@@ -99,6 +100,18 @@
         assertTrue(refused <= 0.02 * (admitted + refused), refused + " of " + (admitted + refused) + " refused");
     }
 
+    @Test
+    void sendsFewMessagesForEachOperationInALargeFleet() {
+        vms = 69;
+        start();
+        run(vm -> 0.0, 3_000);
+        sent = 0;
+        run(vm -> 0.6 * RATE / vms, RUN_MILLIS);
+        int asked = admitted + refused;
+        assertTrue(refused <= 0.02 * asked, refused + " of " + asked + " refused");
+        assertTrue(sent <= 6 * asked, sent + " messages for " + asked + " operations");
+    }
+
     @Test
     void refusesAtOnceWhatTheWholeRateCannotAdmitInTheWait() {
         start();
@@ -168,6 +181,7 @@
 
         @Override
         public void send(String vm, PeerMessage message) {
+            sent++;
             if (random.nextDouble() < lostPart) {
                 return;
             }
