Follow the store through two relays per data centre in a large fleet

All VMs also raced for a duty whose holder was silent.

Change: in a fleet of more than eight VMs two of each data centre watch the store, the others ask them every 400 ms for what is newer. A VM watches the store itself while no relay that is in touch with it has answered for a second, so a relay that is cut off from the store delays no change by more than that. Lists older than the present one are ignored. Only relays take over the promotion duty; the others ask its holder less often.

Ruled out: relays that push changes, because a lost push would need the same question.

Tests: StoreFollowerTests.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyKeeper.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/DutyKeeper.java
@@ -27,6 +27,12 @@
     /** Period in which the holder is asked for a sign of life, milliseconds. */
     private static final long PING_PERIOD_MILLIS = 500;
 
+    /** The same for VMs that do not take the duty, milliseconds. */
+    private static final long FOLLOWER_PING_PERIOD_MILLIS = 1_500;
+
+    /** Silence of the holder after which VMs that do not take the duty read again who holds it, milliseconds. */
+    private static final long FOLLOWER_SILENCE_MILLIS = 4_000;
+
     /** Silence of the holder after which its duty is taken, milliseconds. */
     private static final long SILENCE_MILLIS = 2_500;
 
@@ -47,6 +53,7 @@
     private final RandomGenerator random;
     private PeerLinks peers;
     private Option<Stored<DutyRecord>> record = Option.none();
+    private boolean candidate = true;
     private boolean confirmed;
     private long counted;
     private boolean calling;
@@ -69,6 +76,11 @@
         peers = links;
     }
 
+    /** Whether this VM may take the duty; in a large fleet few do, so that they do not race. */
+    void candidate(boolean eligible) {
+        candidate = eligible;
+    }
+
     /** Whether this VM's process holds the duty as far as it knows. */
     boolean held() {
         return confirmed && holder().contains(self);
@@ -152,10 +164,17 @@
     }
 
     private void watchHolder(long now, boolean urgent) {
-        if (now - pingedMillis >= PING_PERIOD_MILLIS) {
+        if (now - pingedMillis >= (candidate ? PING_PERIOD_MILLIS : FOLLOWER_PING_PERIOD_MILLIS)) {
             pingedMillis = now;
             peers.send(holder().get(), new DutyPing(epoch()));
         }
+        if (!candidate) {
+            if (now - heardMillis > FOLLOWER_SILENCE_MILLIS) {
+                forget();
+                pause();
+            }
+            return;
+        }
         if (now - heardMillis > (urgent ? URGENT_SILENCE_MILLIS : SILENCE_MILLIS)) {
             calling = true;
             loop.schedule(random.nextInt(TAKEOVER_SPREAD_MILLIS), this::takeIfSilent);
@@ -179,8 +198,10 @@
                 pause();
             } else if (result.get().flatMap(Stored::value).isDefined()) {
                 record = result.get();
-            } else {
+            } else if (candidate) {
                 write(Option.none(), new DutyRecord(self, 1, 0));
+            } else {
+                pause();
             }
         });
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionSystem.java
@@ -92,6 +92,15 @@
         vms = count;
     }
 
+    /**
+     * Says whether this VM may take the duty when its holder is silent.
+     *
+     * @param eligible whether it may
+     */
+    public void candidate(boolean eligible) {
+        duty.candidate(eligible);
+    }
+
     /** Looks for groups that need a promotion; called every few milliseconds. */
     public void tick() {
         long now = loop.nowMillis();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -113,6 +113,8 @@
                 .register(122, LenderPing.class)
                 .register(123, PositionQuery.class)
                 .register(124, PositionAnswer.class)
+                .register(125, FollowRequest.class)
+                .register(126, FollowAnswer.class)
                 .build();
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -29,6 +29,8 @@
     private final Backoff backoff;
     private final long waitMillis;
     private long revision = -1;
+    private boolean paused;
+    private boolean watching;
     private int failures;
     private long failedSinceMillis;
 
@@ -63,6 +65,24 @@
         list();
     }
 
+    /** Watches no longer; the first list is read all the same. */
+    public void pause() {
+        paused = true;
+    }
+
+    /** Watches again. */
+    public void resume() {
+        paused = false;
+        if (!watching && revision >= 0) {
+            watch();
+        }
+    }
+
+    /** Whether the store answered the latest call. */
+    public boolean current() {
+        return revision >= 0 && failures == 0;
+    }
+
     private void list() {
         table.list(false, this::listed);
     }
@@ -79,6 +99,10 @@
     }
 
     private void watch() {
+        watching = !paused;
+        if (paused) {
+            return;
+        }
         table.watch(revision, waitMillis, this::watched);
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -1,11 +1,14 @@
 package org.hyssopswitch.pool.vm;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.message.PeerMessage;
@@ -20,6 +23,8 @@
 import org.hyssopswitch.pool.peer.ConnectionShortage;
 import org.hyssopswitch.pool.peer.DutyPing;
 import org.hyssopswitch.pool.peer.DutyPong;
+import org.hyssopswitch.pool.peer.FollowAnswer;
+import org.hyssopswitch.pool.peer.FollowRequest;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryReport;
 import org.hyssopswitch.pool.peer.TokenGift;
@@ -60,10 +65,13 @@
     private final Sessions sessions;
     private final PromotionSystem promotions;
     private final Fleet fleet;
+    private final TableWatcher<Catalog> catalogs;
+    private final TableWatcher<Endpoint> endpoints;
+    private final StoreFollower follower;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile Set<String> vms = Set.of();
     private PeerLinks peers;
-    private volatile boolean endpointsListed;
+    private volatile long endpointsRevision = -1;
     private volatile boolean draining;
 
     /**
@@ -92,6 +100,16 @@
         this.fleet = new Fleet(ports, this::received, this::connected, borrower::linkFailed, this::fleetChanged);
         this.sessions = new Sessions(
                 groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
+        this.catalogs = new TableWatcher<>(
+                "configuration",
+                ports.catalogs(),
+                new CatalogListener(),
+                CONFIGURATION_WAIT_MILLIS,
+                loop,
+                ports.random());
+        this.endpoints = new TableWatcher<>(
+                "endpoints", ports.endpoints(), new EndpointListener(), ENDPOINTS_WAIT_MILLIS, loop, ports.random());
+        this.follower = new StoreFollower(ports.name(), new WatchedStore(), peers, loop::nowMillis);
         metrics.gauge("sessions", () -> sessions::size);
         metrics.gauge("configuration_version", () -> () -> catalog.version());
         metrics.gauge("fleet_vms", () -> () -> vms.size());
@@ -99,22 +117,8 @@
 
     /** Starts to follow the store. */
     public void start() {
-        new TableWatcher<>(
-                        "configuration",
-                        ports.catalogs(),
-                        new CatalogListener(),
-                        CONFIGURATION_WAIT_MILLIS,
-                        loop,
-                        ports.random())
-                .start();
-        new TableWatcher<>(
-                        "endpoints",
-                        ports.endpoints(),
-                        new EndpointListener(),
-                        ENDPOINTS_WAIT_MILLIS,
-                        loop,
-                        ports.random())
-                .start();
+        catalogs.start();
+        endpoints.start();
         fleet.start();
         loop.schedule(TICK_MILLIS, this::tick);
     }
@@ -131,7 +135,7 @@
 
     /** Whether new callers may be sent here; may be read on any thread. */
     public boolean ready() {
-        return !draining && endpointsListed && catalog.version() >= 0 && !vms.isEmpty();
+        return !draining && endpointsRevision >= 0 && catalog.version() >= 0 && !vms.isEmpty();
     }
 
     /**
@@ -158,6 +162,7 @@
             apply();
         }
         limiter.tick();
+        follower.tick();
         borrower.tick();
         lender.tick();
         groups.tick();
@@ -174,6 +179,18 @@
         sessions.configure(catalog);
     }
 
+    private void takeCatalog(Catalog next, String from) {
+        if (next.version() > catalog.version()) {
+            LOG.info(
+                    "event=configuration_applied version={} previous={} from={}",
+                    next.version(),
+                    catalog.version(),
+                    from);
+            catalog = next;
+            apply();
+        }
+    }
+
     private void received(String vm, PeerMessage message) {
         if (message instanceof TokenNeed need) {
             limiter.needReceived(vm, need);
@@ -183,6 +200,8 @@
             groups.find(shortage.group()).forEach(group -> group.yieldConnections(shortage.endpoint()));
         } else if (message instanceof PrimaryReport || message instanceof DutyPing || message instanceof DutyPong) {
             promotions.received(vm, message);
+        } else if (message instanceof FollowRequest || message instanceof FollowAnswer) {
+            follower.received(vm, message);
         } else {
             borrower.received(vm, message);
             lender.received(vm, message);
@@ -193,6 +212,7 @@
         peers = links;
         limiter.connect(links);
         promotions.connect(links);
+        follower.connect(links);
         borrower.connect(links);
         lender.connect(links);
     }
@@ -200,6 +220,8 @@
     private void fleetChanged(Map<String, String> dataCentres) {
         vms = dataCentres.keySet();
         borrower.update(dataCentres);
+        follower.update(dataCentres);
+        promotions.candidate(follower.relay());
         promotions.fleetSize(vms.size());
         apply();
     }
@@ -213,17 +235,7 @@
 
         @Override
         public void changed(Listing<Catalog> changes) {
-            changes.objects().forEach(stored -> stored.value().peek(next -> {
-                if (next.version() > catalog.version()) {
-                    LOG.info(
-                            "event=configuration_applied version={} previous={} revision={}",
-                            next.version(),
-                            catalog.version(),
-                            stored.revision());
-                    catalog = next;
-                    apply();
-                }
-            }));
+            changes.objects().forEach(stored -> stored.value().peek(next -> takeCatalog(next, "store")));
         }
 
         @Override
@@ -239,7 +251,7 @@
             Map<String, Endpoint> listed = new HashMap<>();
             all.objects().forEach(stored -> stored.value().peek(value -> listed.put(stored.name(), value)));
             directory.replaceAll(listed);
-            endpointsListed = true;
+            endpointsRevision = all.revision();
             apply();
         }
 
@@ -249,6 +261,7 @@
                 stored.value().peek(directory::put).onEmpty(() -> directory.remove(stored.name()));
                 LOG.info("event=endpoint_changed endpoint={} entry={}", stored.name(), stored.value());
             });
+            endpointsRevision = Math.max(endpointsRevision, changes.revision());
             apply();
         }
 
@@ -257,4 +270,54 @@
             directory.storeRegained();
         }
     }
+
+    /** What the VM knows, from its own watches or from a relay. */
+    private final class WatchedStore implements StoreView {
+
+        @Override
+        public Catalog catalog() {
+            return catalog;
+        }
+
+        @Override
+        public Collection<Endpoint> endpoints() {
+            return directory.endpoints();
+        }
+
+        @Override
+        public long endpointsRevision() {
+            return endpointsRevision;
+        }
+
+        @Override
+        public boolean current() {
+            return catalogs.current() && endpoints.current();
+        }
+
+        @Override
+        public void takeCatalog(Catalog next) {
+            PoolVm.this.takeCatalog(next, "relay");
+        }
+
+        @Override
+        public void takeEndpoints(long revision, Collection<Endpoint> all) {
+            if (revision >= endpointsRevision) {
+                LOG.info("event=endpoints_listed endpoints={} revision={} from=relay", all.size(), revision);
+                endpointsRevision = revision;
+                directory.replaceAll(all.stream().collect(Collectors.toMap(Endpoint::id, Function.identity())));
+                apply();
+            }
+        }
+
+        @Override
+        public void watch(boolean itself) {
+            if (itself) {
+                catalogs.resume();
+                endpoints.resume();
+            } else {
+                catalogs.pause();
+                endpoints.pause();
+            }
+        }
+    }
 }
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreView.java
@@ -0,0 +1,31 @@
+package org.hyssopswitch.pool.vm;
+
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Endpoint;
+
+import java.util.Collection;
+
+/** What a VM knows of the store's content, however it learnt it. */
+interface StoreView {
+
+    /** The configuration in force. */
+    Catalog catalog();
+
+    /** The listed endpoints. */
+    Collection<Endpoint> endpoints();
+
+    /** Store revision of the list of endpoints; -1 before the first list. */
+    long endpointsRevision();
+
+    /** Whether the store answered this VM's latest calls. */
+    boolean current();
+
+    /** Takes a configuration; an older one than that in force is ignored. */
+    void takeCatalog(Catalog next);
+
+    /** Takes all endpoints of a store revision; an older list than the present one is ignored. */
+    void takeEndpoints(long revision, Collection<Endpoint> all);
+
+    /** Begins or ceases to watch the store itself. */
+    void watch(boolean itself);
+}
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/StoreFollowerTests.java
@@ -0,0 +1,202 @@
+package org.hyssopswitch.pool.vm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.testing.FakePeers;
+import org.hyssopswitch.pool.testing.ManualLoop;
+import org.junit.jupiter.api.Test;
+
+/** Two data centres of VMs, of which few watch the store. */
+class StoreFollowerTests {
+
+    private static final long TICK_MILLIS = 20;
+
+    private final ManualLoop loop = new ManualLoop();
+    private final FakePeers network = new FakePeers(loop);
+    private final Map<String, View> views = new HashMap<>();
+    private final Map<String, StoreFollower> followers = new HashMap<>();
+
+    @Test
+    void letsTwoVmsOfEachDataCentreWatchTheStoreOfALargeFleet() {
+        start(40);
+        loop.advance(2_000);
+        assertEquals(4, watching().size());
+    }
+
+    @Test
+    void letsAllVmsOfASmallFleetWatchTheStore() {
+        start(6);
+        loop.advance(2_000);
+        assertEquals(6, watching().size());
+    }
+
+    @Test
+    void passesChangesOnWithinASecond() {
+        start(40);
+        loop.advance(2_000);
+        watching().forEach(view -> {
+            view.catalog = version(7);
+            view.endpoints = List.of(endpoint("e1", 5), endpoint("e2", 9));
+            view.revision = 9;
+        });
+        loop.advance(1_000);
+        views.values().forEach(view -> {
+            assertEquals(7, view.catalog.version());
+            assertEquals(2, view.endpoints.size());
+        });
+    }
+
+    @Test
+    void keepsNoEndpointThatARelayHasRemoved() {
+        start(40);
+        List<Endpoint> both = List.of(endpoint("e1", 5), endpoint("e2", 9));
+        views.values().forEach(view -> {
+            view.endpoints = both;
+            view.revision = 9;
+        });
+        loop.advance(2_000);
+        watching().forEach(view -> {
+            view.endpoints = List.of(endpoint("e1", 5));
+            view.revision = 12;
+        });
+        loop.advance(1_000);
+        views.values().forEach(view -> assertEquals(1, view.endpoints.size()));
+    }
+
+    @Test
+    void takesNoListThatIsOlderThanItsOwn() {
+        start(40);
+        loop.advance(2_000);
+        View follower = views.values().stream()
+                .filter(view -> !view.watches)
+                .findFirst()
+                .get();
+        follower.endpoints = List.of(endpoint("e1", 5));
+        follower.revision = 50;
+        loop.advance(2_000);
+        assertEquals(1, follower.endpoints.size());
+    }
+
+    @Test
+    void watchesTheStoreItselfWhileItsRelaysAreOutOfTouchWithIt() {
+        start(40);
+        loop.advance(2_000);
+        List<View> relays = watching();
+        relays.forEach(view -> view.inTouch = false);
+        loop.advance(1_500);
+        assertEquals(40, watching().size());
+        relays.forEach(view -> view.inTouch = true);
+        loop.advance(1_500);
+        assertEquals(4, watching().size());
+    }
+
+    @Test
+    void isServedByTheOtherRelayWhenOneIsCutOff() {
+        start(40);
+        loop.advance(2_000);
+        View cutOff = watching().get(0);
+        network.cut(cutOff.name, true);
+        loop.advance(3_000);
+        assertTrue(watching().size() <= 4, watching().size() + " watch");
+        assertFalse(watching().isEmpty());
+    }
+
+    private void start(int vms) {
+        Map<String, String> dataCentres = new HashMap<>();
+        for (int i = 0; i < vms; i++) {
+            dataCentres.put("vm-" + i, "dc-" + i % 2);
+        }
+        dataCentres.keySet().forEach(name -> {
+            View view = new View(name);
+            views.put(name, view);
+            StoreFollower follower = new StoreFollower(
+                    name,
+                    view,
+                    network.join(name, (from, message) -> followers.get(name).received(from, message)),
+                    loop::nowMillis);
+            followers.put(name, follower);
+            follower.update(dataCentres);
+        });
+        tick();
+    }
+
+    private void tick() {
+        followers.values().forEach(StoreFollower::tick);
+        loop.schedule(TICK_MILLIS, this::tick);
+    }
+
+    private List<View> watching() {
+        return views.values().stream().filter(view -> view.watches).toList();
+    }
+
+    private static Catalog version(long version) {
+        return Catalog.of(version, List.of(), List.of(), Map.of(), 3_000);
+    }
+
+    private static Endpoint endpoint(String id, long revision) {
+        return new Endpoint(id, "group", "10.0.0.1", 1000, "dc-0", false, false, 1, 0, revision);
+    }
+
+    private static final class View implements StoreView {
+
+        private final String name;
+        private Catalog catalog = version(1);
+        private Collection<Endpoint> endpoints = new ArrayList<>();
+        private long revision = 1;
+        private boolean watches = true;
+        private boolean inTouch = true;
+
+        View(String name) {
+            this.name = name;
+        }
+
+        @Override
+        public Catalog catalog() {
+            return catalog;
+        }
+
+        @Override
+        public Collection<Endpoint> endpoints() {
+            return endpoints;
+        }
+
+        @Override
+        public long endpointsRevision() {
+            return revision;
+        }
+
+        @Override
+        public boolean current() {
+            return inTouch;
+        }
+
+        @Override
+        public void takeCatalog(Catalog next) {
+            if (next.version() > catalog.version()) {
+                catalog = next;
+            }
+        }
+
+        @Override
+        public void takeEndpoints(long listRevision, Collection<Endpoint> all) {
+            if (listRevision >= revision) {
+                revision = listRevision;
+                endpoints = List.copyOf(all);
+            }
+        }
+
+        @Override
+        public void watch(boolean itself) {
+            watches = itself;
+        }
+    }
+}
