Lend connections wherever a VM cannot keep one for each client account

Change: the condition for lending is that a VM's share is smaller than the number of accounts; it was a quarter of it. A VM is lender, borrower or alone; alone it opens connections ahead as before. Small savings beside it: accounts without waiting operations are not looked at each tick, and lenders are asked for positions every 900 ms.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -35,8 +35,8 @@
     /** Age of the latest position of the primary from which on a new one is asked for, milliseconds. */
     private static final long SAMPLE_INTERVAL_MILLIS = 400;
 
-    /** The same where a lender asks for many VMs, milliseconds: half of the least accepted age seen on routes. */
-    private static final long SHARED_SAMPLE_INTERVAL_MILLIS = 700;
+    /** The same where a lender asks for many VMs, milliseconds: within the least accepted age seen on routes, 1.5 s. */
+    private static final long SHARED_SAMPLE_INTERVAL_MILLIS = 900;
 
     /** Time for which reads keep the positions of the primary up to date, milliseconds. */
     private static final long READ_INTEREST_MILLIS = 3_000;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -327,11 +327,11 @@
 
     /** Whether this VM borrows connections to the endpoint from another one. */
     private boolean borrows() {
-        return budget.scarce() && !leases.lender(endpoint);
+        return budget.scarce() && leases.role(endpoint) == LeaseRole.BORROWER;
     }
 
     private int kept(long now) {
-        return budget.kept(leases.lender(endpoint), now);
+        return budget.kept(leases.role(endpoint) == LeaseRole.LENDER, now);
     }
 
     private void assignIdle() {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/LeaseSource.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/LeaseSource.java
@@ -15,8 +15,8 @@
     /** Lends nothing. */
     LeaseSource NONE = new LeaseSource() {
         @Override
-        public boolean lender(Endpoint endpoint) {
-            return false;
+        public LeaseRole role(Endpoint endpoint) {
+            return LeaseRole.ALONE;
         }
 
         @Override
@@ -32,11 +32,11 @@
     };
 
     /**
-     * Whether this VM is the one that lends connections to an endpoint.
+     * What this VM does at the moment.
      *
      * @param endpoint the endpoint
      */
-    boolean lender(Endpoint endpoint);
+    LeaseRole role(Endpoint endpoint);
 
     /**
      * Asks for a connection; the listener is told once it is lent.
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolLimits.java
@@ -17,9 +17,6 @@
     /** Part of an endpoint's connections that its lender keeps; the rest is for VMs that do not reach the lender. */
     private static final double LENT_PART = 0.9;
 
-    /** Part of the client accounts for which a VM must be able to keep a connection to do without a lender. */
-    private static final double SERVED_ACCOUNTS_PART = 0.25;
-
     PoolLimits {
         if (endpointMax < 1 || guaranteed < 0 || kept < guaranteed || lent < 1) {
             throw new IllegalArgumentException("an endpoint must accept 1 connection or more, grant this VM 0 or more,"
@@ -39,7 +36,8 @@
     static PoolLimits of(int endpointMax, int vms, int localVms, int accounts) {
         int lent = Math.max(1, (int) (endpointMax * LENT_PART));
         int share = endpointMax / Math.max(1, vms);
-        if (share < accounts * SERVED_ACCOUNTS_PART) {
+        if (share < accounts) {
+            // A VM that cannot keep a connection for each account would open one for most operations.
             return new PoolLimits(endpointMax, 0, 0, lent, true);
         }
         int local = localVms > 0 ? (int) (endpointMax * LOCAL_PART / localVms) : 0;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
@@ -15,6 +15,7 @@
 import org.hyssopswitch.pool.endpoint.BorrowedLink;
 import org.hyssopswitch.pool.endpoint.EndpointLink;
 import org.hyssopswitch.pool.endpoint.LeaseEnd;
+import org.hyssopswitch.pool.endpoint.LeaseRole;
 import org.hyssopswitch.pool.endpoint.LeaseSource;
 import org.hyssopswitch.pool.endpoint.PositionListener;
 import org.hyssopswitch.pool.peer.LeaseEnded;
@@ -97,8 +98,11 @@
     }
 
     @Override
-    public boolean lender(Endpoint endpoint) {
-        return directory.lender(endpoint, clock.getAsLong()).contains(self);
+    public LeaseRole role(Endpoint endpoint) {
+        return directory
+                .lender(endpoint, clock.getAsLong())
+                .map(vm -> vm.equals(self) ? LeaseRole.LENDER : LeaseRole.BORROWER)
+                .getOrElse(LeaseRole.ALONE);
     }
 
     @Override
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -81,7 +81,8 @@
             int part = sharing.contains(self) ? sharing.size() : 0;
             List<String> others =
                     sharing.stream().filter(vm -> !vm.equals(self)).toList();
-            shares.computeIfAbsent(name, key -> new AccountShare((int) RendezvousUtils.score(name, self), now)).resize(rate, part, others, now);
+            shares.computeIfAbsent(name, key -> new AccountShare((int) RendezvousUtils.score(name, self), now))
+                    .resize(rate, part, others, now);
         });
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountShare.java
@@ -111,6 +111,9 @@
         if (borrower && nowMillis - usedMillis > BORROWED_MILLIS) {
             bucket.withdraw(bucket.burst(), nowMillis);
         }
+        if (waiting.isEmpty()) {
+            return;
+        }
         waiting.removeIf(one -> !one.admission().wanted());
         List<Waiting> admitted = new ArrayList<>();
         while (!waiting.isEmpty() && bucket.tryTake(nowMillis)) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreFollower.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreFollower.java
@@ -85,8 +85,7 @@
         if (!relays.isEmpty() && now - askedMillis >= ASK_PERIOD_MILLIS) {
             askedMillis = now;
             turn = (turn + 1) % relays.size();
-            peers.send(
-                    relays.get(turn), new FollowRequest(view.catalog().version(), digest(view.endpoints())));
+            peers.send(relays.get(turn), new FollowRequest(view.catalog().version(), digest(view.endpoints())));
         }
         boolean needed = relay || now - servedMillis >= UNSERVED_MILLIS;
         if (needed != watching) {
@@ -114,8 +113,7 @@
                         watching && listed && catalog.version() >= 0 && view.current(),
                         Option.when(catalog.version() > request.catalogVersion(), catalog),
                         view.endpointsRevision(),
-                        Option.when(
-                                listed && digest(endpoints) != request.endpointsDigest(), List.copyOf(endpoints))));
+                        Option.when(listed && digest(endpoints) != request.endpointsDigest(), List.copyOf(endpoints))));
     }
 
     private void take(FollowAnswer answer) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreView.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreView.java
@@ -1,10 +1,9 @@
 package org.hyssopswitch.pool.vm;
 
+import java.util.Collection;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 
-import java.util.Collection;
-
 /** What a VM knows of the store's content, however it learnt it. */
 interface StoreView {
 
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestFleet.java
@@ -13,6 +13,7 @@
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.GroupContext;
 import org.hyssopswitch.pool.endpoint.Groups;
+import org.hyssopswitch.pool.endpoint.LeaseRole;
 import org.hyssopswitch.pool.endpoint.LeaseSource;
 import org.hyssopswitch.pool.lease.ConnectionBorrower;
 import org.hyssopswitch.pool.lease.ConnectionLender;
@@ -85,7 +86,7 @@
                 .findFirst()
                 .get();
         for (int i = 0; i < vms.size(); i++) {
-            if (vms.get(i).borrower.lender(entry)) {
+            if (vms.get(i).borrower.role(entry) == LeaseRole.LENDER) {
                 return i;
             }
         }
