Report not ready while the VM's data centre is cut off from the others

Change: once no primary of another data centre can be reached and no VM there has answered pings for 0.6 s, the VM reports not ready and, after the balancer's two probes, closes sessions whose callers wait for nothing, so that they connect elsewhere. Ruled out: the loss of primaries alone as the sign, because all VMs may have lost them; it is the pings that tell.

Tests: IsolationDetectorTests.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -1,9 +1,13 @@
 package org.hyssopswitch.pool.vm;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -15,6 +19,7 @@
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.catalog.EndpointDirectory;
+import org.hyssopswitch.pool.endpoint.DatabaseGroup;
 import org.hyssopswitch.pool.endpoint.GroupContext;
 import org.hyssopswitch.pool.endpoint.Groups;
 import org.hyssopswitch.pool.failover.PromotionSystem;
@@ -25,6 +30,7 @@
 import org.hyssopswitch.pool.peer.DutyPong;
 import org.hyssopswitch.pool.peer.FollowAnswer;
 import org.hyssopswitch.pool.peer.FollowRequest;
+import org.hyssopswitch.pool.peer.LenderPing;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryReport;
 import org.hyssopswitch.pool.peer.TokenGift;
@@ -52,9 +58,19 @@
     /** Longest watch of the endpoints, milliseconds: a stopping endpoint must be left within 7 s. */
     private static final long ENDPOINTS_WAIT_MILLIS = 4_500;
 
+    /** Time in which the balancer notices that the VM is not ready, milliseconds: two probes of a second. */
+    private static final long UNREADY_MILLIS = 2_200;
+
+    /** Idle sessions closed per tick while the VM is cut off, so that their callers do not reconnect all at once. */
+    private static final int SESSIONS_CLOSED_PER_TICK = 1;
+
+    /** VMs of other data centres that are asked for a sign of life at a time. */
+    private static final int PINGED_VMS = 3;
+
     private static final Logger LOG = LogManager.getLogger(PoolVm.class);
 
     private final VmPorts ports;
+    private final Random shuffle;
     private final MetricRegistry metrics = new MetricRegistry();
     private final DecisionLoop loop;
     private final EndpointDirectory directory;
@@ -68,11 +84,14 @@
     private final TableWatcher<Catalog> catalogs;
     private final TableWatcher<Endpoint> endpoints;
     private final StoreFollower follower;
+    private final IsolationDetector isolation;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile Set<String> vms = Set.of();
     private PeerLinks peers;
     private volatile long endpointsRevision = -1;
     private volatile boolean draining;
+    private volatile boolean isolated;
+    private Map<String, String> dataCentres = Map.of();
 
     /**
      * Creates a VM.
@@ -82,6 +101,7 @@
     public PoolVm(VmPorts ports) {
         this.ports = ports;
         this.loop = ports.loop();
+        this.shuffle = new Random(ports.self().incarnation());
         this.directory = new EndpointDirectory(loop::nowMillis);
         this.peers = new NoPeerLinks();
         this.borrower = new ConnectionBorrower(ports.name(), peers, ports.random(), loop::nowMillis);
@@ -110,6 +130,7 @@
         this.endpoints = new TableWatcher<>(
                 "endpoints", ports.endpoints(), new EndpointListener(), ENDPOINTS_WAIT_MILLIS, loop, ports.random());
         this.follower = new StoreFollower(ports.name(), new WatchedStore(), peers, loop::nowMillis);
+        this.isolation = new IsolationDetector(this::pingOtherDataCentres, loop.nowMillis());
         metrics.gauge("sessions", () -> sessions::size);
         metrics.gauge("configuration_version", () -> () -> catalog.version());
         metrics.gauge("fleet_vms", () -> () -> vms.size());
@@ -135,7 +156,7 @@
 
     /** Whether new callers may be sent here; may be read on any thread. */
     public boolean ready() {
-        return !draining && endpointsRevision >= 0 && catalog.version() >= 0 && !vms.isEmpty();
+        return !draining && !isolated && endpointsRevision >= 0 && catalog.version() >= 0 && !vms.isEmpty();
     }
 
     /**
@@ -168,6 +189,36 @@
         groups.tick();
         sessions.tick();
         promotions.tick();
+        leaveIfIsolated(loop.nowMillis());
+    }
+
+    /** Has callers go to another data centre while this one is cut off from the others. */
+    private void leaveIfIsolated(long now) {
+        isolation.tick(remotePrimariesLost(), now);
+        isolated = isolation.isolated();
+        if (isolation.isolatedMillis(now) > UNREADY_MILLIS) {
+            sessions.closeIdle(SESSIONS_CLOSED_PER_TICK);
+        }
+    }
+
+    private boolean remotePrimariesLost() {
+        List<DatabaseGroup> remote = groups.all().stream()
+                .filter(group -> group.primary().exists(this::isRemote))
+                .toList();
+        return !remote.isEmpty()
+                && remote.stream()
+                        .noneMatch(group -> group.reaches(group.primary().get().id()));
+    }
+
+    private boolean isRemote(Endpoint endpoint) {
+        return !endpoint.dataCentre().equals(ports.self().dataCentre());
+    }
+
+    private void pingOtherDataCentres() {
+        List<String> others = new ArrayList<>(dataCentres.keySet());
+        others.removeIf(vm -> dataCentres.get(vm).equals(ports.self().dataCentre()));
+        Collections.shuffle(others, shuffle);
+        others.stream().limit(PINGED_VMS).forEach(vm -> peers.send(vm, new LenderPing(false)));
     }
 
     private void apply() {
@@ -192,6 +243,9 @@
     }
 
     private void received(String vm, PeerMessage message) {
+        if (!ports.self().dataCentre().equals(dataCentres.get(vm))) {
+            isolation.heard(loop.nowMillis());
+        }
         if (message instanceof TokenNeed need) {
             limiter.needReceived(vm, need);
         } else if (message instanceof TokenGift gift) {
@@ -217,7 +271,8 @@
         lender.connect(links);
     }
 
-    private void fleetChanged(Map<String, String> dataCentres) {
+    private void fleetChanged(Map<String, String> dataCentreOf) {
+        dataCentres = dataCentreOf;
         vms = dataCentres.keySet();
         borrower.update(dataCentres);
         follower.update(dataCentres);
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/IsolationDetectorTests.java
@@ -0,0 +1,63 @@
+package org.hyssopswitch.pool.vm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class IsolationDetectorTests {
+
+    private static final long TICK_MILLIS = 20;
+
+    private int pings;
+    private long now;
+    private final IsolationDetector detector = new IsolationDetector(() -> pings++, now);
+
+    @Test
+    void findsTheCutOffOfItsDataCentreWithinASecond() {
+        run(1_000, true, false);
+        assertTrue(detector.isolated());
+        assertTrue(pings >= 3, pings + " pings");
+    }
+
+    @Test
+    void takesNoLossOfPrimariesForACutOffWhileOtherDataCentresAnswer() {
+        run(5_000, true, true);
+        assertFalse(detector.isolated());
+    }
+
+    @Test
+    void takesNoSilenceForACutOffWhilePrimariesAnswer() {
+        run(5_000, false, false);
+        assertFalse(detector.isolated());
+        assertEquals(0, pings);
+    }
+
+    @Test
+    void endsAsSoonAsAnotherDataCentreAnswers() {
+        run(2_000, true, false);
+        assertTrue(detector.isolatedMillis(now) > 1_000);
+        detector.heard(now);
+        run(TICK_MILLIS, true, false);
+        assertFalse(detector.isolated());
+        assertEquals(0, detector.isolatedMillis(now));
+    }
+
+    @Test
+    void doesNotCountSilenceFromBeforeTheLossOfThePrimaries() {
+        run(5_000, false, false);
+        run(400, true, false);
+        assertFalse(detector.isolated());
+    }
+
+    private void run(long millis, boolean primariesLost, boolean othersAnswer) {
+        for (long until = now + millis; now < until; now += TICK_MILLIS) {
+            int before = pings;
+            detector.tick(primariesLost, now);
+            if (othersAnswer && pings > before) {
+                detector.heard(now);
+            }
+        }
+    }
+}
