Close the unused connections of a lender that stops

Change: from the request to stop on, a VM keeps no unused connection. Ruled out: fewer connections for lenders at all times, which opens more of them.

Test: leavesItsConnectionsToTheNextLenderWhenItStops fails without the change.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionBudget.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionBudget.java
@@ -27,6 +27,7 @@
     private int cap;
     private long yieldUntilMillis;
     private long lendingUntilMillis;
+    private boolean stopping;
 
     ConnectionBudget(PoolLimits limits) {
         this.limits = limits;
@@ -51,6 +52,9 @@
 
     /** Connections that this VM keeps; more are opened only while all of them are lent. */
     int kept(boolean lender, long nowMillis) {
+        if (stopping) {
+            return 0;
+        }
         if (limits.scarce() && (lender || nowMillis < lendingUntilMillis)) {
             return limits.lent();
         }
@@ -66,6 +70,11 @@
         lendingUntilMillis = nowMillis + LENDING_MILLIS;
     }
 
+    /** Keeps no connections from now on: the VM stops, and others need them. */
+    void stop() {
+        stopping = true;
+    }
+
     void yieldExtra(long nowMillis) {
         yieldUntilMillis = nowMillis + YIELD_MILLIS;
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -67,6 +67,7 @@
     private Group group;
     private int vms;
     private int accounts;
+    private boolean stopping;
     private Option<String> primaryId = Option.none();
     private long primaryRevision = -1;
     private long lastReadMillis = Long.MIN_VALUE / 2;
@@ -299,8 +300,12 @@
         listed.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
         byId.values().forEach(endpoint -> {
             PoolLimits limits = limits(endpoint, byId.values());
-            pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, context, this))
-                    .update(endpoint, limits);
+            EndpointPool pool =
+                    pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, context, this));
+            pool.update(endpoint, limits);
+            if (stopping) {
+                pool.stop();
+            }
         });
         for (String id : List.copyOf(pools.keySet())) {
             if (!byId.containsKey(id)) {
@@ -349,6 +354,12 @@
         }
     }
 
+    /** Keeps no unused connections from now on. */
+    void stop() {
+        stopping = true;
+        pools.values().forEach(EndpointPool::stop);
+    }
+
     /** Asks all other endpoints whether they lead: the store may be out of reach, or slower than the endpoints. */
     private void findPrimary(long now) {
         if (now - searchedMillis >= (scarce() ? SHARED_SEARCH_MILLIS : SEARCH_MILLIS)) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -312,6 +312,11 @@
         offer(new ControlWork(endpoint.id(), command, lastAccount, nowMillis() + limitMillis, done));
     }
 
+    /** Closes connections as soon as they are unused, for the VMs that take over. */
+    void stop() {
+        budget.stop();
+    }
+
     /** Closes what this VM holds beyond its guaranteed share and does not use. */
     void yieldExtra() {
         budget.yieldExtra(nowMillis());
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/Groups.java
@@ -62,6 +62,11 @@
         return List.copyOf(groups.values());
     }
 
+    /** Keeps no unused connections from now on, because the VM stops and others need them. */
+    public void stop() {
+        all().forEach(DatabaseGroup::stop);
+    }
+
     /** Ends what has waited too long and keeps connections in order; called every few milliseconds. */
     public void tick() {
         all().forEach(DatabaseGroup::tick);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionLender.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionLender.java
@@ -64,9 +64,10 @@
         peers = links;
     }
 
-    /** Lends no further connections; those that are lent are left to their borrowers. */
+    /** Lends no further connections and closes unused ones; those that are lent are left to their borrowers. */
     public void stop() {
         stopping = true;
+        groups.stop();
     }
 
     /**
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
@@ -135,6 +135,26 @@
         assertTrue(caller.last().succeeded());
     }
 
+    @Test
+    void leavesItsConnectionsToTheNextLenderWhenItStops() {
+        for (int account = 0; account < CONNECTIONS; account++) {
+            fleet.caller(account, TestPool.LATEST, account).write("w" + account);
+        }
+        fleet.advance(400);
+        int lender = fleet.lender("e1");
+        fleet.stopLending(lender);
+        fleet.advance(200);
+        List<FakeCaller> callers = new ArrayList<>();
+        for (int account = 0; account < ACCOUNTS; account++) {
+            FakeCaller caller = fleet.caller(other(lender), TestPool.LATEST, account);
+            caller.write("x" + account);
+            callers.add(caller);
+        }
+        fleet.advance(100);
+        callers.forEach(caller -> assertTrue(caller.last().succeeded()));
+        assertEquals(0, fleet.endpoint("e1").refusedFull());
+    }
+
     @Test
     void neverHoldsMoreConnectionsThanTheEndpointAcceptsUnderManyTransactions() {
         Random random = new Random(7);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -43,6 +43,7 @@
     private int asked;
     private boolean foreign;
     private boolean full;
+    private int refusedFull;
 
     /** Creates an endpoint that is up. */
     public FakeEndpoint(ManualLoop loop, String id, boolean primary, int maxConnections) {
@@ -135,6 +136,11 @@
         return asked;
     }
 
+    /** Connections refused so far because it had enough. */
+    public int refusedFull() {
+        return refusedFull;
+    }
+
     /** Ends the process: connections break and none can be opened. */
     public void crash() {
         up = false;
@@ -167,6 +173,7 @@
             } else if (foreign) {
                 listener.refused(ErrorCode.MISROUTED);
             } else if (full || links.size() >= maxConnections) {
+                refusedFull++;
                 listener.refused(ErrorCode.TOO_MANY_CONNECTIONS);
             } else if (!link.closed) {
                 links.add(link);
