Survive a store that comes back from a copy: positions and leadership by era

Cause: the store may come back from a copy some seconds old, give revisions out again and report Store-Era one higher. A watch from a revision that exists again missed changes, a listed primary of the new era ranked below one of the old, the leadership record could be restored and its fencing tokens issued again, and VM entries and the secret were lost. Ruled out: revision alone with a check for 'lower than before' (a revision that was given out again is not lower). Change: core.store.StorePosition orders by (era, revision); StoreEraTracker evaluates the header of each answer, errors too; answers of an earlier era are discarded, a later era lists everything again, a write whose condition is of an earlier era has an unknown outcome. core.failover.LeadershipTerm puts the era above the epoch in the fencing token; a leader stops at the first sign of a later era, a missing record is created only after the time for which a former holder is tolerated. Messages between VMs changed: StoreSyncResponse has a new number. Not covered: the drill in the product's own deployment and in the demo; VMs that read a store in which another secret was created before theirs was written again.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/catalog/Endpoint.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/catalog/Endpoint.java
@@ -1,5 +1,7 @@
 package org.hyssopswitch.pool.catalog;
 
+import org.hyssopswitch.core.store.StorePosition;
+
 /**
  * A database server as listed by the platform.
  *
@@ -12,7 +14,7 @@
  * @param primary whether it reports itself as the primary of its group
  * @param bornMillis start time of its process, milliseconds since the epoch
  * @param coldMillis remaining time for which it is slow after its start, milliseconds
- * @param revision store revision of the entry, which increases with every change
+ * @param position store position of the entry, which increases with every change
  */
 public record Endpoint(
         String id,
@@ -24,7 +26,7 @@
         boolean primary,
         long bornMillis,
         long coldMillis,
-        long revision) {
+        StorePosition position) {
 
     /**
      * Whether both entries describe the same process, so that existing connections remain valid.
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.catalog.GroupDeclaration;
 import org.hyssopswitch.pool.statement.EndpointCommand;
@@ -69,7 +70,7 @@
     private int accountCount;
     private boolean stopping;
     private Option<String> primaryId = Option.none();
-    private long lastPrimaryRevision = -1;
+    private StorePosition lastPrimaryPosition = StorePosition.NONE;
     private long lastReadMillis = Long.MIN_VALUE / 2;
     private long lastReportMillis;
     private long lastTickMillis;
@@ -261,8 +262,8 @@
             LOG.info("event=primary_lost group={} endpoint={} cause=read_only term={}", name(), endpointId, term());
             primaryId = Option.none();
             Option.of(pools.get(endpointId))
-                    .forEach(pool -> lastPrimaryRevision =
-                            Math.max(lastPrimaryRevision, pool.endpoint().revision()));
+                    .forEach(pool -> lastPrimaryPosition =
+                            lastPrimaryPosition.max(pool.endpoint().position()));
             listedPrimary().forEach(listed -> setPrimary(listed.id(), "listed"));
             Option.of(pools.get(endpointId)).forEach(pool -> pool.drainWaiting().forEach(this::submit));
         }
@@ -426,8 +427,8 @@
     private Option<Endpoint> listedPrimary() {
         return Option.ofOptional(pools.values().stream()
                 .map(EndpointPool::endpoint)
-                .filter(endpoint -> endpoint.primary() && endpoint.revision() > lastPrimaryRevision)
-                .max(Comparator.comparingLong(Endpoint::revision)));
+                .filter(endpoint -> endpoint.primary() && endpoint.position().compareTo(lastPrimaryPosition) > 0)
+                .max(Comparator.comparing(Endpoint::position)));
     }
 
     private void setPrimary(String endpointId, String cause) {
@@ -435,7 +436,7 @@
         if (pool == null) {
             return;
         }
-        lastPrimaryRevision = Math.max(lastPrimaryRevision, pool.endpoint().revision());
+        lastPrimaryPosition = lastPrimaryPosition.max(pool.endpoint().position());
         if (!primaryId.contains(endpointId)) {
             Option<EndpointPool> previous = primaryPool();
             LOG.info(
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/LeadershipRecord.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/LeadershipRecord.java
@@ -1,5 +1,7 @@
 package org.hyssopswitch.pool.failover;
 
+import org.hyssopswitch.core.failover.LeadershipTerm;
+
 /**
  * The promotion leader, as recorded in the store.
  *
@@ -7,22 +9,22 @@
  * @param epoch incremented with each change of the leader or of its process
  * @param promotions number of promotions ordered in the epoch; each one changes the record, so that a concurrent
  *     takeover fails
+ * @param era era of the store in which the leadership was taken, 0 where the store reports none
  */
-public record LeadershipRecord(String holder, long epoch, long promotions) {
+public record LeadershipRecord(String holder, long epoch, long promotions, long era) {
 
-    /**
-     * Number of fencing tokens in one epoch. With tokens of its own, a leader can order promotions while the store is
-     * unavailable.
-     */
-    static final long TOKENS_PER_EPOCH = 100_000;
+    /** Returns the term of the leadership. */
+    LeadershipTerm term() {
+        return new LeadershipTerm(era, epoch);
+    }
 
     /** Returns the fencing token of the latest promotion. */
     long fencingToken() {
-        return epoch * TOKENS_PER_EPOCH + promotions;
+        return term().fencingToken(promotions);
     }
 
     /** Returns a copy with the given number of promotions. */
     LeadershipRecord withPromotions(long count) {
-        return new LeadershipRecord(holder, epoch, count);
+        return new LeadershipRecord(holder, epoch, count, era);
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
 import org.hyssopswitch.pool.endpoint.DatabaseGroups;
@@ -56,6 +57,7 @@
      * @param groups the database groups
      * @param authority orders promotions
      * @param table holds the leadership record
+     * @param eras eras of the store
      * @param loop the decision thread
      * @param random source of jitter
      * @param peers links to the other VMs
@@ -65,6 +67,7 @@
             DatabaseGroups groups,
             PromotionAuthority authority,
             ObjectTable<LeadershipRecord> table,
+            StoreEraTracker eras,
             DecisionLoop loop,
             RandomGenerator random,
             PeerLinks peers) {
@@ -72,7 +75,7 @@
         this.groups = groups;
         this.authority = authority;
         this.loop = loop;
-        this.election = new PromotionLeaderElection(self, table, loop, random, peers);
+        this.election = new PromotionLeaderElection(self, table, eras, loop, random, peers);
         this.peers = peers;
         this.lastReportMillis = loop.nowMillis();
     }
@@ -105,6 +108,11 @@
         election.setCandidate(eligible);
     }
 
+    /** The store has come back from a copy, and the leadership must be taken again. */
+    public void eraAdvanced() {
+        election.eraAdvanced();
+    }
+
     /** Checks whether groups need a promotion; called every few milliseconds. */
     public void tick() {
         long now = loop.nowMillis();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionLeaderElection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionLeaderElection.java
@@ -6,6 +6,9 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.failover.LeadershipTerm;
+import org.hyssopswitch.core.store.StoreEraTracker;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.peer.LeadershipPing;
 import org.hyssopswitch.pool.peer.LeadershipPong;
 import org.hyssopswitch.pool.peer.PeerLinks;
@@ -20,6 +23,10 @@
  * <p>A leader keeps the leadership for as long as it answers the other VMs. It is replaced by a conditional update of
  * the leadership record in the store. Each promotion also updates the record, so a takeover fails when the leader has
  * just ordered a promotion.
+ *
+ * <p>A store that comes back from a copy may have lost the leadership record or hold an earlier one. A leadership is
+ * therefore valid only in the era in which it was taken: the leader stops at the first sign of a later era and takes the
+ * leadership again under a higher term.
  */
 final class PromotionLeaderElection {
 
@@ -45,6 +52,12 @@
     /** Maximum random delay of a takeover, milliseconds, so that the other candidates see the new record first. */
     private static final int MAX_TAKEOVER_JITTER_MILLIS = 400;
 
+    /**
+     * Time for which a missing record is not created, milliseconds: the store may have lost it, and its holder may still
+     * order promotions until it learns of that. As long as a holder that pings nobody is tolerated.
+     */
+    private static final long MISSING_RECORD_WAIT_MILLIS = LEADER_TIMEOUT_MILLIS;
+
     /** Delay after a failed call to the store, milliseconds. */
     private static final long STORE_RETRY_DELAY_MILLIS = 500;
 
@@ -52,6 +65,7 @@
 
     private final String self;
     private final ObjectTable<LeadershipRecord> table;
+    private final StoreEraTracker eras;
     private final DecisionLoop loop;
     private final RandomGenerator random;
     private PeerLinks peers;
@@ -63,15 +77,18 @@
     private long lastContactMillis;
     private long lastPingMillis;
     private long nextAttemptMillis;
+    private Option<Long> recordMissingSinceMillis = Option.none();
 
     PromotionLeaderElection(
             String self,
             ObjectTable<LeadershipRecord> table,
+            StoreEraTracker eras,
             DecisionLoop loop,
             RandomGenerator random,
             PeerLinks peers) {
         this.self = self;
         this.table = table;
+        this.eras = eras;
         this.loop = loop;
         this.random = random;
         this.peers = peers;
@@ -93,7 +110,7 @@
 
     /** Returns whether this process holds the leadership, as far as it knows. */
     boolean isLeader() {
-        return leadershipConfirmed && leader().contains(self);
+        return leadershipConfirmed && leader().contains(self) && isOfCurrentEra();
     }
 
     /** Returns the leader, as far as this VM knows. */
@@ -101,6 +118,12 @@
         return record.flatMap(VersionedObject::value).map(LeadershipRecord::holder);
     }
 
+    /** The store has come back from a copy: no leadership that this VM knows is valid any more. */
+    void eraAdvanced() {
+        LOG.warn("event=duty_voided holder={} term={} cause=era_advanced", leader().getOrElse("none"), termNumber());
+        discardRecord();
+    }
+
     /** Pings the leader and replaces it when it is unresponsive. */
     void tick(boolean urgent) {
         long now = loop.nowMillis();
@@ -128,21 +151,26 @@
         VersionedObject<LeadershipRecord> current = record.get();
         promotionCount = Math.max(promotionCount, current.value().get().promotions()) + 1;
         LeadershipRecord next = current.value().get().withPromotions(promotionCount);
-        table.write(RECORD_NAME, Option.some(current.revision()), next, result -> {
-            if (!isLeader() || epoch() != next.epoch()) {
+        table.write(RECORD_NAME, Option.some(current.position()), next, result -> {
+            if (!isLeader() || termNumber() != next.term().number()) {
                 // The leadership was lost, or taken again under a new epoch, while the write was in flight.
                 done.accept(Option.none());
             } else if (result.isRight()) {
                 record = Option.some(result.get());
                 done.accept(Option.some(next));
-            } else if (result.getLeft() instanceof StoreFailure.Conflict) {
-                LOG.warn("event=duty_conflict epoch={} action=read_again", next.epoch());
+            } else if (result.getLeft() instanceof StoreFailure.Conflict
+                    || result.getLeft() instanceof StoreFailure.EraChanged) {
+                LOG.warn(
+                        "event=duty_conflict epoch={} era={} action=read_again cause=\"{}\"",
+                        next.epoch(),
+                        next.era(),
+                        describe(result));
                 discardRecord();
                 done.accept(Option.none());
             } else {
                 // Only this process issues tokens of this epoch; the platform rejects them once a higher one is used.
                 LOG.warn("event=promotion_uncounted token={} cause=\"{}\"", next.fencingToken(), describe(result));
-                record = Option.some(new VersionedObject<>(RECORD_NAME, current.revision(), Option.some(next)));
+                record = Option.some(new VersionedObject<>(RECORD_NAME, current.position(), Option.some(next)));
                 done.accept(Option.some(next));
             }
         });
@@ -155,33 +183,36 @@
     }
 
     void pingReceived(String vm, LeadershipPing ping) {
-        long epoch = epoch();
-        if (ping.epoch() > epoch && !operationPending) {
+        long term = termNumber();
+        if (ping.term() > term && !operationPending) {
             discardRecord();
         }
-        peers.send(vm, new LeadershipPong(epoch, isLeader() ? self : leader().getOrElse("")));
+        peers.send(vm, new LeadershipPong(term, isLeader() ? self : leader().getOrElse("")));
     }
 
     void pongReceived(String vm, LeadershipPong pong) {
-        long epoch = epoch();
-        if (pong.epoch() > epoch || !pong.leader().equals(vm)) {
+        if (pong.term() > termNumber() || !pong.leader().equals(vm)) {
             discardRecord();
         } else if (leader().contains(vm)) {
             lastContactMillis = loop.nowMillis();
         }
     }
 
-    /** Returns the latest epoch that this VM knows, or -1 when it knows none. */
-    private long epoch() {
+    /** Returns the number of the latest term that this VM knows, or -1 when it knows none. */
+    private long termNumber() {
         return record.flatMap(VersionedObject::value)
-                .map(LeadershipRecord::epoch)
+                .map(known -> known.term().number())
                 .getOrElse(-1L);
     }
 
+    private boolean isOfCurrentEra() {
+        return record.flatMap(VersionedObject::value).exists(known -> known.era() == eras.current());
+    }
+
     private void monitorLeader(long now, boolean urgent) {
         if (now - lastPingMillis >= (candidate ? PING_PERIOD_MILLIS : NON_CANDIDATE_PING_PERIOD_MILLIS)) {
             lastPingMillis = now;
-            peers.send(leader().get(), new LeadershipPing(epoch()));
+            peers.send(leader().get(), new LeadershipPing(termNumber()));
         }
         if (!candidate) {
             if (now - lastContactMillis > NON_CANDIDATE_TIMEOUT_MILLIS) {
@@ -213,34 +244,44 @@
                 backOff();
             } else if (result.get().flatMap(VersionedObject::value).isDefined()) {
                 record = result.get();
-            } else if (candidate) {
-                writeRecord(Option.none(), new LeadershipRecord(self, 1, 0));
+                recordMissingSinceMillis = Option.none();
+            } else if (candidate && mayCreateRecord()) {
+                writeRecord(Option.none(), new LeadershipRecord(self, 1, 0, eras.current()));
             } else {
                 backOff();
             }
         });
     }
 
+    /** Whether a missing record has been missing for as long as a holder of a lost one may still order promotions. */
+    private boolean mayCreateRecord() {
+        long now = loop.nowMillis();
+        long since = recordMissingSinceMillis.getOrElse(now);
+        recordMissingSinceMillis = Option.some(since);
+        return eras.current() == 0 || now - since >= MISSING_RECORD_WAIT_MILLIS;
+    }
+
     private void takeLeadership() {
         VersionedObject<LeadershipRecord> current = record.get();
-        writeRecord(
-                Option.some(current.revision()),
-                new LeadershipRecord(self, current.value().get().epoch() + 1, 0));
+        LeadershipTerm next = current.value().get().term().next(eras.current());
+        writeRecord(Option.some(current.position()), new LeadershipRecord(self, next.epoch(), 0, next.era()));
     }
 
-    private void writeRecord(Option<Long> expected, LeadershipRecord next) {
+    private void writeRecord(Option<StorePosition> expected, LeadershipRecord next) {
         operationPending = true;
         table.write(RECORD_NAME, expected, next, result -> {
             operationPending = false;
             lastContactMillis = loop.nowMillis();
             if (result.isRight()) {
                 record = Option.some(result.get());
+                recordMissingSinceMillis = Option.none();
                 leadershipConfirmed = true;
                 promotionCount = 0;
                 LOG.info(
-                        "event=duty_taken epoch={} revision={}",
+                        "event=duty_taken epoch={} era={} position={}",
                         next.epoch(),
-                        result.get().revision());
+                        next.era(),
+                        result.get().position());
             } else {
                 LOG.info("event=duty_not_taken epoch={} cause=\"{}\"", next.epoch(), describe(result));
                 discardRecord();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -117,7 +117,7 @@
                 .register(123, PositionQuery.class)
                 .register(124, PositionAnswer.class)
                 .register(125, StoreSyncRequest.class)
-                .register(126, StoreSyncResponse.class)
+                .register(127, StoreSyncResponse.class)
                 .build();
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeadershipPing.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeadershipPing.java
@@ -5,6 +5,6 @@
 /**
  * Asks the promotion leader whether it still holds the leadership.
  *
- * @param epoch epoch of the leader, as known to the sender
+ * @param term term of the leader, as known to the sender
  */
-public record LeadershipPing(long epoch) implements PeerMessage {}
+public record LeadershipPing(long term) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeadershipPong.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/LeadershipPong.java
@@ -5,7 +5,7 @@
 /**
  * Answers a {@link LeadershipPing}.
  *
- * @param epoch latest epoch known to the sender
- * @param leader leader in that epoch; empty when the sender knows none
+ * @param term latest term known to the sender
+ * @param leader leader in that term; empty when the sender knows none
  */
-public record LeadershipPong(long epoch, String leader) implements PeerMessage {}
+public record LeadershipPong(long term, String leader) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/StoreSyncResponse.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/StoreSyncResponse.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.List;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 
@@ -11,9 +12,9 @@
  *
  * @param current whether the relay is in contact with the store
  * @param catalog the configuration, if it is newer than the requester's
- * @param endpointsRevision store revision of the list of endpoints
+ * @param endpointsPosition store position of the list of endpoints
  * @param endpoints all endpoints, if the list differs from the requester's
  */
 public record StoreSyncResponse(
-        boolean current, Option<Catalog> catalog, long endpointsRevision, Option<List<Endpoint>> endpoints)
+        boolean current, Option<Catalog> catalog, StorePosition endpointsPosition, Option<List<Endpoint>> endpoints)
         implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/ObjectTable.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/ObjectTable.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.function.Consumer;
+import org.hyssopswitch.core.store.StorePosition;
 
 /**
  * The objects of one kind in the store. Calls return at once; each delivers one result, on the decision thread.
@@ -22,11 +23,11 @@
     /**
      * Waits for changes.
      *
-     * @param revision only changes after this revision of the store are returned
+     * @param position only changes after this position of the store are returned
      * @param maxWaitMillis maximum wait, milliseconds; the result is empty if nothing changed
      * @param done receives the changed objects
      */
-    void watch(long revision, long maxWaitMillis, Consumer<Either<StoreFailure, Listing<T>>> done);
+    void watch(StorePosition position, long maxWaitMillis, Consumer<Either<StoreFailure, Listing<T>>> done);
 
     /**
      * Reads one object.
@@ -37,12 +38,16 @@
     void read(String name, Consumer<Either<StoreFailure, Option<VersionedObject<T>>>> done);
 
     /**
-     * Writes one object if it is at the expected revision.
+     * Writes one object if it is at the expected position.
      *
      * @param name its name
-     * @param expected its revision; nothing if it must not exist
+     * @param expected position of its last change; nothing if it must not exist
      * @param value its new value
      * @param done receives the object as written
      */
-    void write(String name, Option<Long> expected, T value, Consumer<Either<StoreFailure, VersionedObject<T>>> done);
+    void write(
+            String name,
+            Option<StorePosition> expected,
+            T value,
+            Consumer<Either<StoreFailure, VersionedObject<T>>> done);
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/StoreFailure.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/StoreFailure.java
@@ -25,6 +25,33 @@
         }
     }
 
+    /**
+     * The store has come back from a copy since the position that the call used; whether a write took effect is
+     * unknown.
+     *
+     * @param previous era of the position
+     * @param current era of the store
+     */
+    record EraChanged(long previous, long current) implements StoreFailure {
+        @Override
+        public String describe() {
+            return "the store has changed from era " + previous + " to " + current;
+        }
+    }
+
+    /**
+     * The answer is of an era that has ended.
+     *
+     * @param latest the latest known era
+     * @param reported era of the answer
+     */
+    record OutdatedEra(long latest, long reported) implements StoreFailure {
+        @Override
+        public String describe() {
+            return "the answer is of era " + reported + ", but the store has reached era " + latest;
+        }
+    }
+
     /** The object was changed, exists already or does not exist. */
     record Conflict() implements StoreFailure {
         @Override
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -6,11 +6,12 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.retry.Backoff;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /**
  * Keeps up with all objects of one kind: lists them, then watches for changes, and lists them again when the store no
- * longer keeps the history of changes.
+ * longer keeps the history of changes or has come back from a copy.
  *
  * @param <T> type of the objects' values
  */
@@ -29,7 +30,8 @@
     private final LongSupplier clock;
     private final Backoff backoff;
     private final long maxWaitMillis;
-    private long revision = -1;
+    private StorePosition position = StorePosition.NONE;
+    private int listNumber;
     private boolean paused;
     private boolean watching;
     private int consecutiveFailures;
@@ -74,18 +76,37 @@
     /** Resumes watching. */
     public void resume() {
         paused = false;
-        if (!watching && revision >= 0) {
+        if (!watching && isListed()) {
             watch();
         }
     }
 
     /** Whether the objects were listed and the latest call succeeded. */
     public boolean isCurrent() {
-        return revision >= 0 && consecutiveFailures == 0;
+        return isListed() && consecutiveFailures == 0;
+    }
+
+    /** The store has come back from a copy: lists the objects again, whatever calls are in flight. */
+    public void eraAdvanced() {
+        listener.storeRecovered();
+        if (isListed() && !paused) {
+            LOG.info("event=watch_restarted table={} position={} cause=era_advanced", name, position);
+            list();
+        }
+    }
+
+    private boolean isListed() {
+        return position.revision() >= 0;
     }
 
     private void list() {
-        table.list(false, this::handleListResult);
+        listNumber++;
+        int number = listNumber;
+        table.list(false, result -> {
+            if (number == listNumber) {
+                handleListResult(result);
+            }
+        });
     }
 
     private void handleListResult(Either<StoreFailure, Listing<T>> result) {
@@ -93,7 +114,7 @@
             retry(result.getLeft(), this::list);
             return;
         }
-        revision = result.get().revision();
+        position = result.get().position();
         callSucceeded();
         listener.listed(result.get());
         watch();
@@ -104,17 +125,28 @@
         if (paused) {
             return;
         }
-        table.watch(revision, maxWaitMillis, this::handleWatchResult);
+        int number = listNumber;
+        table.watch(position, maxWaitMillis, result -> {
+            if (number == listNumber) {
+                handleWatchResult(result);
+            }
+        });
     }
 
     private void handleWatchResult(Either<StoreFailure, Listing<T>> result) {
-        if (result.isLeft() && result.getLeft() instanceof StoreFailure.HistoryGone) {
-            LOG.info("event=watch_restarted table={} revision={} cause=history_gone", name, revision);
+        if (result.isLeft()
+                && (result.getLeft() instanceof StoreFailure.HistoryGone
+                        || result.getLeft() instanceof StoreFailure.EraChanged)) {
+            LOG.info(
+                    "event=watch_restarted table={} position={} cause=\"{}\"",
+                    name,
+                    position,
+                    result.getLeft().describe());
             list();
         } else if (result.isLeft()) {
             retry(result.getLeft(), this::watch);
         } else {
-            revision = Math.max(revision, result.get().revision());
+            position = position.max(result.get().position());
             callSucceeded();
             if (!result.get().objects().isEmpty()) {
                 listener.changed(result.get());
@@ -141,7 +173,12 @@
             LOG.warn("event=store_lost table={} cause=\"{}\"", name, failure.describe());
         }
         consecutiveFailures++;
-        loop.schedule(backoff.delayMillis(consecutiveFailures), call);
+        int number = listNumber;
+        loop.schedule(backoff.delayMillis(consecutiveFailures), () -> {
+            if (number == listNumber) {
+                call.run();
+            }
+        });
     }
 
     /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
@@ -4,14 +4,17 @@
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.identity.CellId;
@@ -19,6 +22,7 @@
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.identity.VmId;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.peer.PeerOptions;
 import org.hyssopswitch.pool.peer.DefaultPeerLinks;
 import org.hyssopswitch.pool.peer.PeerLinks;
@@ -45,6 +49,15 @@
     /** Number of reads of the list of VMs at the shorter period. */
     private static final int STARTUP_LIST_COUNT = 6;
 
+    /**
+     * Time for which a VM that is missing after the store came back from a copy stays in the list, milliseconds: it
+     * registers again once it learns of the copy, at the latest with its next read of the list.
+     */
+    private static final long REGISTRATION_GRACE_MILLIS = 3 * LIST_PERIOD_MILLIS;
+
+    /** Maximum random delay of a repeated registration, milliseconds, so that the VMs do not write all at once. */
+    private static final int MAX_REGISTRATION_JITTER_MILLIS = 1_000;
+
     private static final Logger LOG = LogManager.getLogger(FleetMembership.class);
 
     private final VmDependencies dependencies;
@@ -57,6 +70,8 @@
     private List<VersionedObject<VmEntry>> entries = List.of();
     private Map<String, String> dataCentres = Map.of();
     private int listCount;
+    private long retainMissingUntilMillis = Long.MIN_VALUE;
+    private Option<FleetSecret> ownSecret = Option.none();
 
     /**
      * Creates the membership of one VM.
@@ -86,6 +101,28 @@
         readSecret();
     }
 
+    /** The store has come back from a copy: writes what it may lack, and keeps the VMs that are missing for a while. */
+    void eraAdvanced() {
+        retainMissingUntilMillis = loop.nowMillis() + REGISTRATION_GRACE_MILLIS;
+        if (links.isDefined()) {
+            loop.schedule(dependencies.random().nextInt(MAX_REGISTRATION_JITTER_MILLIS), this::registerAgain);
+        }
+    }
+
+    private void registerAgain() {
+        register(Option.none());
+        ownSecret.forEach(this::restoreSecret);
+    }
+
+    /** Writes the secret of the fleet again if the store has lost it. */
+    private void restoreSecret(FleetSecret secret) {
+        dependencies.secrets().write(SECRET_NAME, Option.none(), secret, result -> {
+            if (result.isLeft() && !(result.getLeft() instanceof StoreFailure.Conflict)) {
+                retry(result, () -> restoreSecret(secret));
+            }
+        });
+    }
+
     private void readSecret() {
         dependencies.secrets().read(SECRET_NAME, result -> {
             if (result.isLeft()) {
@@ -112,6 +149,7 @@
     }
 
     private void openLinks(FleetSecret secret) {
+        ownSecret = Option.some(secret);
         VmEntry self = dependencies.self();
         PeerOptions options = new PeerOptions(
                 new VmId(dependencies.name()),
@@ -130,16 +168,16 @@
         register(Option.none());
     }
 
-    private void register(Option<Long> expected) {
+    private void register(Option<StorePosition> expected) {
         dependencies.vms().write(dependencies.name(), expected, dependencies.self(), result -> {
             if (result.isRight()) {
-                LOG.info("event=vm_registered revision={}", result.get().revision());
+                LOG.info("event=vm_registered position={}", result.get().position());
             } else if (result.getLeft() instanceof StoreFailure.Conflict) {
                 dependencies.vms().read(dependencies.name(), found -> {
                     if (found.isLeft()) {
                         retry(found, () -> register(Option.none()));
                     } else {
-                        register(found.get().map(VersionedObject::revision));
+                        register(found.get().map(VersionedObject::position));
                     }
                 });
             } else {
@@ -167,9 +205,9 @@
     }
 
     private void applyListing(Listing<VmEntry> listing) {
-        List<VersionedObject<VmEntry>> known = listing.objects().stream()
+        List<VersionedObject<VmEntry>> known = withRetained(listing.objects().stream()
                 .filter(stored -> stored.value().isDefined())
-                .toList();
+                .toList());
         Map<String, String> current = new HashMap<>();
         current.put(dependencies.name(), dependencies.self().dataCentre());
         known.forEach(stored -> current.put(stored.name(), stored.value().get().dataCentre()));
@@ -177,15 +215,29 @@
         links.forEach(opened -> opened.update(addresses(known)));
         if (!current.equals(dataCentres)) {
             LOG.info(
-                    "event=fleet_changed from={} to={} revision={}",
+                    "event=fleet_changed from={} to={} position={}",
                     dataCentres.size(),
                     current.size(),
-                    listing.revision());
+                    listing.position());
             dataCentres = current;
             changed.accept(current);
         }
     }
 
+    /**
+     * Adds the VMs that are missing since the store came back from a copy. Without them, the remaining VMs would take
+     * over parts of rates that those VMs still use.
+     */
+    private List<VersionedObject<VmEntry>> withRetained(List<VersionedObject<VmEntry>> listed) {
+        if (loop.nowMillis() >= retainMissingUntilMillis) {
+            return listed;
+        }
+        Set<String> names = listed.stream().map(VersionedObject::name).collect(Collectors.toSet());
+        List<VersionedObject<VmEntry>> all = new ArrayList<>(listed);
+        entries.stream().filter(known -> !names.contains(known.name())).forEach(all::add);
+        return all;
+    }
+
     private static Collection<VmAddress> addresses(List<VersionedObject<VmEntry>> known) {
         return known.stream()
                 .map(stored -> address(stored.name(), stored.value().get()))
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.catalog.EndpointDirectory;
@@ -39,6 +40,7 @@
 import org.hyssopswitch.pool.session.RequestLog;
 import org.hyssopswitch.pool.session.RequestMetrics;
 import org.hyssopswitch.pool.session.Sessions;
+import org.hyssopswitch.pool.store.EraCheckUtils;
 import org.hyssopswitch.pool.store.Listing;
 import org.hyssopswitch.pool.store.TableWatcher;
 import org.hyssopswitch.proxy.net.DecisionLoop;
@@ -88,7 +90,7 @@
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile Set<String> vmNames = Set.of();
     private PeerLinks peers;
-    private volatile long endpointsRevision = -1;
+    private volatile StorePosition endpointsPosition = StorePosition.NONE;
     private volatile boolean draining;
     private volatile boolean isolated;
     private Map<String, String> dataCentres = Map.of();
@@ -120,6 +122,7 @@
                 groups,
                 dependencies.promotionAuthority(),
                 dependencies.leadershipRecords(),
+                dependencies.eras(),
                 loop,
                 dependencies.random(),
                 peers);
@@ -150,6 +153,7 @@
 
     /** Starts following the store. */
     public void start() {
+        dependencies.eras().addListener((previous, era) -> eraAdvanced());
         catalogWatcher.start();
         endpointWatcher.start();
         membership.start();
@@ -168,7 +172,11 @@
 
     /** Returns whether new callers may be sent to this VM; may be called on any thread. */
     public boolean isReady() {
-        return !draining && !isolated && endpointsRevision >= 0 && catalog.version() >= 0 && !vmNames.isEmpty();
+        return !draining
+                && !isolated
+                && !endpointsPosition.equals(StorePosition.NONE)
+                && catalog.version() >= 0
+                && !vmNames.isEmpty();
     }
 
     /**
@@ -194,6 +202,14 @@
         return done;
     }
 
+    /** The store has come back from a copy, which may lack what this VM has read and written. */
+    private void eraAdvanced() {
+        failover.eraAdvanced();
+        catalogWatcher.eraAdvanced();
+        endpointWatcher.eraAdvanced();
+        membership.eraAdvanced();
+    }
+
     private void tick() {
         loop.schedule(TICK_MILLIS, this::tick);
         if (directory.removeExpired()) {
@@ -315,7 +331,7 @@
 
         @Override
         public void storeRecovered() {
-            // Versions only grow, so recovery from an outage needs no special handling.
+            // Only higher versions are applied, so the configuration in force never regresses to that of a copy.
         }
     }
 
@@ -326,7 +342,7 @@
             Map<String, Endpoint> listed = new HashMap<>();
             all.objects().forEach(stored -> stored.value().peek(value -> listed.put(stored.name(), value)));
             directory.replaceAll(listed);
-            endpointsRevision = all.revision();
+            endpointsPosition = all.position();
             reconfigure();
         }
 
@@ -336,7 +352,7 @@
                 stored.value().peek(directory::put).onEmpty(() -> directory.remove(stored.name()));
                 LOG.info("event=endpoint_changed endpoint={} entry={}", stored.name(), stored.value());
             });
-            endpointsRevision = Math.max(endpointsRevision, changes.revision());
+            endpointsPosition = endpointsPosition.max(changes.position());
             reconfigure();
         }
 
@@ -360,8 +376,8 @@
         }
 
         @Override
-        public long endpointsRevision() {
-            return endpointsRevision;
+        public StorePosition endpointsPosition() {
+            return endpointsPosition;
         }
 
         @Override
@@ -375,10 +391,12 @@
         }
 
         @Override
-        public void applyEndpoints(long revision, Collection<Endpoint> all) {
-            if (revision >= endpointsRevision) {
-                LOG.info("event=endpoints_listed endpoints={} revision={} from=relay", all.size(), revision);
-                endpointsRevision = revision;
+        public void applyEndpoints(StorePosition position, Collection<Endpoint> all) {
+            boolean usable =
+                    EraCheckUtils.checkRelayed(dependencies.eras(), position).isRight();
+            if (usable && position.compareTo(endpointsPosition) >= 0) {
+                LOG.info("event=endpoints_listed endpoints={} position={} from=relay", all.size(), position);
+                endpointsPosition = position;
                 directory.replaceAll(all.stream().collect(Collectors.toMap(Endpoint::id, Function.identity())));
                 reconfigure();
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.placement.RendezvousUtils;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.peer.PeerLinks;
@@ -21,6 +23,9 @@
  * <p>A few VMs of each data centre are store relays and watch the store. The others poll them for changes, and watch
  * the store themselves only while no relay that is in contact with it answers. In a small fleet all VMs watch the
  * store.
+ *
+ * <p>VMs that watch the store also poll each other for later configurations. A store that comes back from a copy shows an
+ * earlier configuration to the VMs that start then, while the others keep the later one in force.
  */
 final class StoreSynchronizer {
 
@@ -36,6 +41,9 @@
      */
     private static final long SYNC_PERIOD_MILLIS = 400;
 
+    /** Period in which a VM that watches the store polls another one for a later configuration, milliseconds. */
+    private static final long CONFIGURATION_POLL_PERIOD_MILLIS = 2_000;
+
     /**
      * Time without an answer from a relay in contact with the store after which a VM watches the store itself,
      * milliseconds.
@@ -49,6 +57,7 @@
     private final LongSupplier clock;
     private PeerLinks peers;
     private List<String> relays = List.of();
+    private List<String> otherWatchers = List.of();
     private boolean relay = true;
     private boolean watching = true;
     private long lastRequestMillis;
@@ -71,14 +80,30 @@
     /** Updates the data centres of the VMs, by VM name, and chooses the relays. */
     void update(Map<String, String> dataCentres) {
         String own = dataCentres.get(self);
-        List<String> elected = dataCentres.entrySet().stream()
-                .filter(vm -> vm.getValue().equals(own))
-                .map(Map.Entry::getKey)
-                .sorted(RendezvousUtils.byScore("relay", vm -> vm))
-                .limit(RELAYS_PER_DATA_CENTRE)
-                .toList();
+        List<String> elected =
+                rankedVms(dataCentres, own).limit(RELAYS_PER_DATA_CENTRE).toList();
         relay = dataCentres.size() <= MAX_VMS_WITHOUT_RELAYS || elected.contains(self);
         relays = relay ? List.of() : elected;
+        otherWatchers = relay ? otherWatchers(dataCentres) : List.of();
+    }
+
+    /** Returns the VMs of all data centres that watch the store, except this one. */
+    private List<String> otherWatchers(Map<String, String> dataCentres) {
+        boolean allWatch = dataCentres.size() <= MAX_VMS_WITHOUT_RELAYS;
+        return dataCentres.values().stream()
+                .distinct()
+                .sorted()
+                .flatMap(dataCentre -> rankedVms(dataCentres, dataCentre)
+                        .limit(allWatch ? dataCentres.size() : RELAYS_PER_DATA_CENTRE))
+                .filter(vm -> !vm.equals(self))
+                .toList();
+    }
+
+    private static Stream<String> rankedVms(Map<String, String> dataCentres, String dataCentre) {
+        return dataCentres.entrySet().stream()
+                .filter(vm -> vm.getValue().equals(dataCentre))
+                .map(Map.Entry::getKey)
+                .sorted(RendezvousUtils.byScore("relay", vm -> vm));
     }
 
     /** Returns whether this VM watches the store for others, or all VMs do. */
@@ -89,11 +114,13 @@
     /** Polls a relay when due and starts or stops watching the store; called every few milliseconds. */
     void tick() {
         long now = clock.getAsLong();
-        if (!relays.isEmpty() && now - lastRequestMillis >= SYNC_PERIOD_MILLIS) {
+        List<String> polled = relay ? otherWatchers : relays;
+        long periodMillis = relay ? CONFIGURATION_POLL_PERIOD_MILLIS : SYNC_PERIOD_MILLIS;
+        if (!polled.isEmpty() && now - lastRequestMillis >= periodMillis) {
             lastRequestMillis = now;
-            relayIndex = (relayIndex + 1) % relays.size();
+            relayIndex = (relayIndex + 1) % polled.size();
             peers.send(
-                    relays.get(relayIndex), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
+                    polled.get(relayIndex), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
         }
         boolean shouldWatch = relay || now - lastServedMillis >= RELAY_TIMEOUT_MILLIS;
         if (shouldWatch != watching) {
@@ -118,19 +145,23 @@
     private void sendResponse(String vm, StoreSyncRequest request) {
         Catalog catalog = view.catalog();
         Collection<Endpoint> endpoints = view.endpoints();
-        boolean listed = view.endpointsRevision() >= 0;
+        boolean listed = !view.endpointsPosition().equals(StorePosition.NONE);
         peers.send(
                 vm,
                 new StoreSyncResponse(
                         watching && listed && catalog.version() >= 0 && view.isCurrent(),
                         Option.when(catalog.version() > request.catalogVersion(), catalog),
-                        view.endpointsRevision(),
+                        view.endpointsPosition(),
                         Option.when(listed && digest(endpoints) != request.endpointsDigest(), List.copyOf(endpoints))));
     }
 
     private void applyResponse(StoreSyncResponse response) {
         response.catalog().forEach(view::applyCatalog);
-        response.endpoints().forEach(all -> view.applyEndpoints(response.endpointsRevision(), all));
+        if (relay) {
+            // This VM's own watch is the authority on the endpoints; an answer may overtake one that is in flight.
+            return;
+        }
+        response.endpoints().forEach(all -> view.applyEndpoints(response.endpointsPosition(), all));
         if (response.current()) {
             lastServedMillis = clock.getAsLong();
         }
@@ -139,7 +170,8 @@
     /** Returns the same digest for equal lists, whatever their order. */
     private static long digest(Collection<Endpoint> endpoints) {
         return endpoints.stream()
-                .mapToLong(endpoint -> RendezvousUtils.score(endpoint.id(), Long.toString(endpoint.revision())))
+                .mapToLong(endpoint ->
+                        RendezvousUtils.score(endpoint.id(), endpoint.position().toString()))
                 .sum();
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreView.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreView.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.vm;
 
 import java.util.Collection;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 
@@ -13,8 +14,8 @@
     /** Returns the listed endpoints. */
     Collection<Endpoint> endpoints();
 
-    /** Returns the store revision of the list of endpoints, or -1 before the first list. */
-    long endpointsRevision();
+    /** Returns the store position of the list of endpoints, or none before the first list. */
+    StorePosition endpointsPosition();
 
     /** Returns whether the store answered the latest calls of this VM. */
     boolean isCurrent();
@@ -22,8 +23,8 @@
     /** Applies a configuration; one that is older than that in force is ignored. */
     void applyCatalog(Catalog next);
 
-    /** Applies the list of all endpoints of a store revision; a list that is older than the current one is ignored. */
-    void applyEndpoints(long revision, Collection<Endpoint> all);
+    /** Applies the list of all endpoints at a store position; a list that is older than the current one is ignored. */
+    void applyEndpoints(StorePosition position, Collection<Endpoint> all);
 
     /** Starts or stops watching the store directly. */
     void setWatching(boolean watching);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointConnector;
@@ -19,6 +20,7 @@
  * @param loop the decision thread
  * @param timeOfDay milliseconds since the epoch, which may jump
  * @param random source of jitter
+ * @param eras eras of the store, observed by the tables below
  * @param connector opens connections to endpoints
  * @param catalogs the operator's configuration
  * @param endpoints the listed endpoints
@@ -34,6 +36,7 @@
         DecisionLoop loop,
         LongSupplier timeOfDay,
         RandomGenerator random,
+        StoreEraTracker eras,
         EndpointConnector connector,
         ObjectTable<Catalog> catalogs,
         ObjectTable<Endpoint> endpoints,
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/catalog/EndpointDirectoryTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/catalog/EndpointDirectoryTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.testing.ManualLoop;
 import org.junit.jupiter.api.Test;
 
@@ -12,7 +13,8 @@
 
     private final ManualLoop loop = new ManualLoop();
     private final EndpointDirectory directory = new EndpointDirectory(loop::nowMillis);
-    private final Endpoint entry = new Endpoint("e1", "group", "10.0.0.1", 1, "dc", false, true, 1, 0, 1);
+    private final Endpoint entry =
+            new Endpoint("e1", "group", "10.0.0.1", 1, "dc", false, true, 1, 0, new StorePosition(0, 1));
 
     @Test
     void removesAnEntryAtOnceWhileTheStoreIsAvailable() {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.store.StoreEraTracker;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryUnreachableReport;
@@ -88,7 +90,16 @@
         Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
         pool.updateEndpoint(
                 new Endpoint(
-                        entry.id(), entry.group(), entry.host(), entry.port(), entry.dataCentre(), true, true, 1, 0, 7),
+                        entry.id(),
+                        entry.group(),
+                        entry.host(),
+                        entry.port(),
+                        entry.dataCentre(),
+                        true,
+                        true,
+                        1,
+                        0,
+                        new StorePosition(0, 7)),
                 VMS);
         pool.advance(500);
         assertEquals(1, promoted().size());
@@ -143,6 +154,7 @@
                     pool.loop().schedule(5, () -> done.accept(answer));
                 },
                 new FakeObjectTable<>(pool.loop()),
+                new StoreEraTracker(),
                 pool.loop(),
                 new Random(1),
                 links);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
@@ -40,6 +40,51 @@
         assertEquals("list a=1", seen.get(seen.size() - 1));
     }
 
+    @Test
+    void listsAgainWhenTheStoreComesBackFromACopyAlthoughItHasTheRevisionAgain() {
+        table.setEra(1);
+        table.put("a", "1");
+        FakeObjectTable.Copy<String> copy = table.copy();
+        table.put("a", "2");
+        start();
+        loop.advance(50);
+        table.restore(copy);
+        table.put("b", "reused revision");
+        loop.advance(WAIT_MILLIS + 500);
+        assertEquals(List.of("list a=2", "regained", "list a=1 b=reused revision"), seen);
+    }
+
+    @Test
+    void listsAgainAtOnceWhenAnotherCallOfTheVmReportsALaterEra() {
+        table.setEra(1);
+        FakeObjectTable.Copy<String> copy = table.copy();
+        table.put("a", "1");
+        start();
+        loop.advance(50);
+        table.restore(copy);
+        table.read("a", result -> {});
+        loop.advance(50);
+        assertEquals("list", seen.get(seen.size() - 1));
+    }
+
+    @Test
+    void listsAgainOnlyOnResumptionWhileItIsPaused() {
+        table.setEra(1);
+        FakeObjectTable.Copy<String> copy = table.copy();
+        table.put("a", "1");
+        TableWatcher<String> watcher = start();
+        loop.advance(50);
+        watcher.pause();
+        loop.advance(WAIT_MILLIS + 50);
+        table.restore(copy);
+        table.read("a", result -> {});
+        loop.advance(50);
+        assertEquals(List.of("list a=1", "regained"), seen);
+        watcher.resume();
+        loop.advance(50);
+        assertEquals("list", seen.get(seen.size() - 1));
+    }
+
     @Test
     void reportsRecoveryOfTheStoreBeforeMissedChanges() {
         start();
@@ -62,8 +107,12 @@
         assertTrue(table.callCount() <= 70, table.callCount() + " calls in 40 s");
     }
 
-    private void start() {
-        new TableWatcher<>("test", table, new Recorder(), WAIT_MILLIS, loop, new Random(1)).start();
+    private TableWatcher<String> start() {
+        TableWatcher<String> watcher =
+                new TableWatcher<>("test", table, new Recorder(), WAIT_MILLIS, loop, new Random(1));
+        table.ownTracker().addListener((previous, era) -> watcher.eraAdvanced());
+        watcher.start();
+        return watcher;
     }
 
     private final class Recorder implements TableWatcher.Listener<String> {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointLink;
@@ -55,7 +56,8 @@
 
     /** Returns the entry that the platform lists. */
     public Endpoint entry(String group, String dataCentre, long revision) {
-        return new Endpoint(id, group, "10.0.0.1", 1000, dataCentre, false, primary, 1, 0, revision);
+        return new Endpoint(
+                id, group, "10.0.0.1", 1000, dataCentre, false, primary, 1, 0, new StorePosition(0, revision));
     }
 
     /** Returns the identifiers of the callers' statements that were executed, in order. */
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/StoreSynchronizerTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/StoreSynchronizerTests.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.testing.FakePeerNetwork;
@@ -46,7 +47,7 @@
         watching().forEach(view -> {
             view.catalog = version(7);
             view.endpoints = List.of(endpoint("e1", 5), endpoint("e2", 9));
-            view.revision = 9;
+            view.position = new StorePosition(0, 9);
         });
         loop.advance(1_000);
         views.values().forEach(view -> {
@@ -61,12 +62,12 @@
         List<Endpoint> both = List.of(endpoint("e1", 5), endpoint("e2", 9));
         views.values().forEach(view -> {
             view.endpoints = both;
-            view.revision = 9;
+            view.position = new StorePosition(0, 9);
         });
         loop.advance(2_000);
         watching().forEach(view -> {
             view.endpoints = List.of(endpoint("e1", 5));
-            view.revision = 12;
+            view.position = new StorePosition(0, 12);
         });
         loop.advance(1_000);
         views.values().forEach(view -> assertEquals(1, view.endpoints.size()));
@@ -81,11 +82,35 @@
                 .findFirst()
                 .get();
         nonRelay.endpoints = List.of(endpoint("e1", 5));
-        nonRelay.revision = 50;
+        nonRelay.position = new StorePosition(0, 50);
         loop.advance(2_000);
         assertEquals(1, nonRelay.endpoints.size());
     }
 
+    @Test
+    void bringsVmsForwardThatReadAnEarlierConfigurationFromAStoreThatCameBackFromACopy() {
+        for (int vms : List.of(6, 40)) {
+            views.clear();
+            synchronizers.clear();
+            start(vms);
+            loop.advance(2_000);
+            List<View> restarted = watching().subList(1, watching().size());
+            views.values().forEach(view -> view.catalog = version(9));
+            restarted.forEach(view -> view.catalog = version(4));
+            loop.advance(2_000L * watching().size());
+            views.values().forEach(view -> assertEquals(9, view.catalog.version(), view.name));
+        }
+    }
+
+    @Test
+    void keepsTheEndpointsOfItsOwnWatchWhileItPollsOtherWatchers() {
+        start(6);
+        views.get("vm-0").endpoints = List.of(endpoint("e1", 5));
+        views.get("vm-0").position = new StorePosition(0, 50);
+        loop.advance(20_000);
+        assertTrue(views.get("vm-1").endpoints.isEmpty());
+    }
+
     @Test
     void watchesTheStoreDirectlyWhileItsRelaysCannotReachIt() {
         start(40);
@@ -144,7 +169,7 @@
     }
 
     private static Endpoint endpoint(String id, long revision) {
-        return new Endpoint(id, "group", "10.0.0.1", 1000, "dc-0", false, false, 1, 0, revision);
+        return new Endpoint(id, "group", "10.0.0.1", 1000, "dc-0", false, false, 1, 0, new StorePosition(0, revision));
     }
 
     private static final class View implements StoreView {
@@ -152,7 +177,7 @@
         private final String name;
         private Catalog catalog = version(1);
         private Collection<Endpoint> endpoints = new ArrayList<>();
-        private long revision = 1;
+        private StorePosition position = new StorePosition(0, 1);
         private boolean watches = true;
         private boolean current = true;
 
@@ -171,8 +196,8 @@
         }
 
         @Override
-        public long endpointsRevision() {
-            return revision;
+        public StorePosition endpointsPosition() {
+            return position;
         }
 
         @Override
@@ -188,9 +213,9 @@
         }
 
         @Override
-        public void applyEndpoints(long listRevision, Collection<Endpoint> all) {
-            if (listRevision >= revision) {
-                revision = listRevision;
+        public void applyEndpoints(StorePosition listPosition, Collection<Endpoint> all) {
+            if (listPosition.compareTo(position) >= 0) {
+                position = listPosition;
                 endpoints = List.copyOf(all);
             }
         }
