Retry ever less often at a full endpoint where VMs outnumber its connections

Ruled out: a fixed bound of two connections for a VM without a lender; a VM that is alone with an endpoint then leaves connections unused while its transactions wait (an existing test showed it). Change: one attempt at a time while the endpoint is full, the delay doubling from 40 to 640 ms, where connections are scarce; other fleets as before.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionBudget.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionBudget.java
@@ -6,6 +6,12 @@
     /** Delay of the next attempt to connect after the endpoint was full, milliseconds: the time of a few statements. */
     private static final long FULL_RETRY_DELAY_MILLIS = 40;
 
+    /**
+     * Maximum delay of the next attempt after the endpoint was full repeatedly, milliseconds, where VMs outnumber its
+     * connections: the endpoint drops those of a lost VM after seconds.
+     */
+    private static final long MAX_FULL_RETRY_DELAY_MILLIS = 640;
+
     /** Delay of the next attempt to connect after a connection could not be opened, milliseconds. */
     private static final long FAILED_RETRY_DELAY_MILLIS = 200;
 
@@ -25,6 +31,8 @@
     private long openAfterMillis;
     private long cappedUntilMillis;
     private int cap;
+    private long lastFullMillis = Long.MIN_VALUE / 2;
+    private long fullRetryDelayMillis = FULL_RETRY_DELAY_MILLIS;
     private long guaranteedOnlyUntilMillis;
     private long lendingUntilMillis;
     private boolean stopping;
@@ -66,6 +74,21 @@
         return nowMillis < cappedUntilMillis ? cap : limits.endpointMax();
     }
 
+    /**
+     * Records an attempt to connect. Where VMs outnumber the connections, there is one at a time while the endpoint is
+     * full: the attempts of all VMs together would keep it busy.
+     */
+    void recordOpening(long nowMillis) {
+        if (limits.scarce() && nowMillis < cappedUntilMillis) {
+            openAfterMillis = nowMillis + fullRetryDelayMillis;
+        }
+    }
+
+    /** Records that a connection was opened. */
+    void recordOpened() {
+        fullRetryDelayMillis = FULL_RETRY_DELAY_MILLIS;
+    }
+
     void recordLending(long nowMillis) {
         lendingUntilMillis = nowMillis + LENDING_RETENTION_MILLIS;
     }
@@ -81,7 +104,12 @@
 
     /** Records that the endpoint refused a connection because it accepts no more. */
     void recordFull(int openConnections, long nowMillis) {
-        openAfterMillis = nowMillis + FULL_RETRY_DELAY_MILLIS;
+        // Attempts that were in flight together count as one.
+        if (limits.scarce() && nowMillis >= lastFullMillis + FULL_RETRY_DELAY_MILLIS) {
+            lastFullMillis = nowMillis;
+            fullRetryDelayMillis = Math.min(MAX_FULL_RETRY_DELAY_MILLIS, 2 * fullRetryDelayMillis);
+        }
+        openAfterMillis = Math.max(openAfterMillis, nowMillis + fullRetryDelayMillis);
         cappedUntilMillis = nowMillis + CAP_MILLIS;
         cap = Math.max(1, openConnections);
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -259,6 +259,7 @@
 
     void recordOpened(long millis) {
         counters.recordOpened(millis);
+        budget.recordOpened();
         estimates.recordOpen(millis);
     }
 
@@ -452,6 +453,7 @@
 
     private void open(Account account, long now) {
         lastOpenedAccount = account;
+        budget.recordOpening(now);
         PooledConnection connection = new PooledConnection(this, account, now);
         connections.add(connection);
         connection.attach(connector.open(endpoint, account, connection));
