Have one VM per data centre decide on the rates of a client account; announce stops; one store relay per data centre

Eight VMs of the fleet held fractions of tokens, the others asked one of them after the other within 24 ms. Change: core.admission chooses holders (one VM per data centre for large accounts, two where parts would be small), queues operations by arrival, levels the parts between holders, refuses at once what the fleet's rate cannot admit in time, and books the return of refused callers one by one. A VM that stops tells the others, hands its tokens over and is not asked until it can be back; before, each borrower and caller found out by a timeout. One store relay per data centre and a standby in place of two relays. The choice of holders is computed only when rates or VMs change, not with each change of an endpoint.

--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AdmissionListener.java
@@ -0,0 +1,18 @@
+package org.hyssopswitch.core.admission;
+
+/** Receives the decision on one operation. */
+public interface AdmissionListener {
+
+    /** The operation may run. */
+    void admitted();
+
+    /**
+     * The client account exceeds its rate.
+     *
+     * @param retryAfterMillis milliseconds after which an operation is likely to be admitted
+     */
+    void refused(long retryAfterMillis);
+
+    /** Whether the caller still waits for the decision. */
+    boolean isPending();
+}
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/limit/TokenBucket.java
@@ -30,7 +30,8 @@
         this.refilledMillis = nowMillis;
     }
 
-    double ratePerSecond() {
+    /** Returns the rate, tokens per second. */
+    public double ratePerSecond() {
         return ratePerSecond;
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
@@ -168,6 +168,16 @@
         lenderLost(vm, "link_failed");
     }
 
+    /**
+     * A VM, possibly this one, stops and lends nothing for a while. Connections that it has lent stay usable.
+     *
+     * @param vm name of the VM
+     * @param unavailableMillis time for which it is not asked, milliseconds
+     */
+    public void vmStopping(String vm, long unavailableMillis) {
+        directory.markStopping(vm, clock.getAsLong() + unavailableMillis);
+    }
+
     /** Detects unresponsive lenders; called every few milliseconds. */
     public void tick() {
         long now = clock.getAsLong();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/LenderDirectory.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/LenderDirectory.java
@@ -31,6 +31,7 @@
     private final Map<String, List<String>> candidates = new HashMap<>();
     private final Map<String, Failure> failures = new HashMap<>();
     private final Map<LenderEndpoint, Long> unreachableUntilMillis = new HashMap<>();
+    private final Map<String, Long> stoppingUntilMillis = new HashMap<>();
     private Map<String, String> dataCentres = Map.of();
 
     LenderDirectory(String self) {
@@ -46,6 +47,7 @@
         dataCentres = Map.copyOf(dataCentreOf);
         candidates.clear();
         failures.keySet().retainAll(dataCentres.keySet());
+        stoppingUntilMillis.keySet().retainAll(dataCentres.keySet());
         unreachableUntilMillis.keySet().removeIf(key -> !dataCentres.containsKey(key.vm()));
     }
 
@@ -62,7 +64,8 @@
             boolean failed = failure != null && nowMillis < failure.untilMillis();
             boolean unreachable =
                     nowMillis < unreachableUntilMillis.getOrDefault(new LenderEndpoint(vm, endpoint.id()), nowMillis);
-            if (vm.equals(self) || (!failed && !unreachable)) {
+            boolean stopping = nowMillis < stoppingUntilMillis.getOrDefault(vm, nowMillis);
+            if (!stopping && (vm.equals(self) || (!failed && !unreachable))) {
                 return Option.some(vm);
             }
         }
@@ -85,6 +88,16 @@
         failures.remove(vm);
     }
 
+    /**
+     * Records that a VM, possibly this one, has announced that it stops.
+     *
+     * @param vm name of the VM
+     * @param untilMillis time until which it lends nothing, milliseconds of the monotonic clock
+     */
+    void markStopping(String vm, long untilMillis) {
+        stoppingUntilMillis.put(vm, untilMillis);
+    }
+
     /** Records that a VM cannot reach an endpoint. */
     void markEndpointUnreachable(String vm, String endpointId, long nowMillis) {
         unreachableUntilMillis.put(new LenderEndpoint(vm, endpointId), nowMillis + UNREACHABLE_BACKOFF_MILLIS);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -101,8 +101,11 @@
 
     private static MessageRegistry registry() {
         return MessageRegistry.builder()
-                .register(110, TokenRequest.class)
-                .register(111, TokenTransfer.class)
+                .register(103, TokenTransfer.class)
+                .register(104, VmStopping.class)
+                .register(100, AdmissionRequest.class)
+                .register(101, AdmissionReply.class)
+                .register(102, TokenRequest.class)
                 .register(112, ConnectionShortage.class)
                 .register(113, PrimaryUnreachableReport.class)
                 .register(114, LeadershipPing.class)
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/TokenRequest.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/TokenRequest.java
@@ -1,11 +1,12 @@
 package org.hyssopswitch.pool.peer;
 
 import java.util.Map;
+import org.hyssopswitch.core.admission.TokenNeed;
 import org.hyssopswitch.core.message.PeerMessage;
 
 /**
- * Asks other VMs for tokens of client accounts that they hold and do not need.
+ * Asks another VM that holds tokens of client accounts for some of them.
  *
- * @param wanted number of tokens by client account
+ * @param needs what the sender needs, by client account
  */
-public record TokenRequest(Map<String, Double> wanted) implements PeerMessage {}
+public record TokenRequest(Map<String, TokenNeed> needs) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/TokenTransfer.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/TokenTransfer.java
@@ -4,8 +4,9 @@
 import org.hyssopswitch.core.message.PeerMessage;
 
 /**
- * Transfers unused tokens to another VM.
+ * Answers a {@link TokenRequest} with unused tokens, or with none.
  *
  * @param tokens number of tokens by client account
+ * @param left number of unused tokens that the sender has left, by client account
  */
-public record TokenTransfer(Map<String, Double> tokens) implements PeerMessage {}
+public record TokenTransfer(Map<String, Double> tokens, Map<String, Double> left) implements PeerMessage {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -1,53 +1,44 @@
 package org.hyssopswitch.pool.quota;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.hyssopswitch.core.admission.AccountTokens;
+import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.TokenHolders;
+import org.hyssopswitch.core.admission.TokenNeed;
 import org.hyssopswitch.core.configuration.Rate;
-import org.hyssopswitch.core.placement.RendezvousUtils;
+import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
+import org.hyssopswitch.pool.peer.AdmissionReply;
+import org.hyssopswitch.pool.peer.AdmissionRequest;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.TokenRequest;
 import org.hyssopswitch.pool.peer.TokenTransfer;
 
 /**
- * Admits operations of client accounts within this VM's share of their rates, and transfers unused tokens to VMs that
- * request them.
+ * Admits operations of client accounts within their rates.
  *
- * <p>For each account a few VMs, chosen by rendezvous hashing, hold equal shares that add up to the declared rate and
- * burst; in a small fleet all VMs do. The others hold no share and request tokens from those VMs. Tokens are withdrawn
- * before the transfer is sent, so a lost message loses its tokens, and no failure of messages or VMs lets an account
- * exceed its limit.
+ * <p>For each account a few VMs hold equal parts of the rate and burst; the others ask one of them to admit an operation.
+ * Holders transfer unused tokens to each other. Tokens are withdrawn before a message is sent, so a lost message loses its
+ * tokens, and no failure of messages or VMs lets an account exceed its limit.
  */
 public final class AccountLimiter {
 
-    /** Interval between token requests, milliseconds; covers a fraction of a second's rate. */
-    private static final long TOKEN_REQUEST_PERIOD_MILLIS = 100;
-
-    /**
-     * Interval between token requests in a fleet where only some VMs share a rate, milliseconds; operations that
-     * wait for tokens trigger a request at once.
-     */
-    private static final long LARGE_FLEET_TOKEN_REQUEST_PERIOD_MILLIS = 500;
-
-    /** Minimum interval between token requests for waiting operations, milliseconds. */
-    private static final long MIN_URGENT_REQUEST_PERIOD_MILLIS = 15;
-
-    /** Maximum number of VMs that share one account's rate; bounds messages and rounding in a fleet of any size. */
-    private static final int MAX_SHARING_VMS = 8;
-
-    /** Tokens requested in total, as a multiple of the shortfall: most VMs have few unused tokens. */
-    private static final double REQUEST_FACTOR = 2;
+    /** Interval between the exchanges of holders, milliseconds; covers a fraction of a second's rate. */
+    private static final long EXCHANGE_PERIOD_MILLIS = 100;
 
     private final LongSupplier clock;
-    private final Map<String, AccountShare> shares = new HashMap<>();
+    private final RemoteAdmissions remote;
+    private final Map<String, AccountTokens> held = new HashMap<>();
+    private final Map<String, List<String>> holders = new HashMap<>();
+    private Map<String, Rate> appliedLimits = Map.of();
+    private Map<String, String> appliedDataCentres = Map.of();
     private PeerLinks peers;
-    private boolean largeFleet;
-    private long lastRequestMillis;
-    private long lastUrgentRequestMillis;
+    private boolean stopping;
+    private long lastExchangeMillis;
 
     /**
      * Creates a limiter without accounts.
@@ -58,8 +49,8 @@
     public AccountLimiter(PeerLinks peers, LongSupplier clock) {
         this.peers = peers;
         this.clock = clock;
-        this.lastRequestMillis = clock.getAsLong();
-        this.lastUrgentRequestMillis = lastRequestMillis;
+        this.remote = new RemoteAdmissions(peers, clock);
+        this.lastExchangeMillis = clock.getAsLong();
     }
 
     /**
@@ -67,26 +58,67 @@
      *
      * @param catalog the configuration
      * @param self name of this VM
-     * @param vms names of all VMs, this one included
+     * @param dataCentreOf data centre of all VMs by name, this one included
      */
-    public void update(Catalog catalog, String self, Collection<String> vms) {
+    public void update(Catalog catalog, String self, Map<String, String> dataCentreOf) {
         long now = clock.getAsLong();
-        largeFleet = vms.size() > MAX_SHARING_VMS;
         Map<String, Rate> limits = new HashMap<>();
         catalog.accounts().values().forEach(account -> account.limit()
                 .forEach(rate -> limits.put(account.name(), rate)));
-        shares.keySet().retainAll(limits.keySet());
+        if (limits.equals(appliedLimits) && dataCentreOf.equals(appliedDataCentres)) {
+            // The choice of holders costs a hash per account and VM; most changes of a configuration concern neither.
+            return;
+        }
+        appliedLimits = limits;
+        appliedDataCentres = Map.copyOf(dataCentreOf);
+        holders.clear();
         limits.forEach((name, rate) -> {
-            List<String> sharing = vms.stream()
-                    .sorted(RendezvousUtils.byScore(name, vm -> vm))
-                    .limit(MAX_SHARING_VMS)
-                    .toList();
-            int sharingVms = sharing.contains(self) ? sharing.size() : 0;
-            List<String> otherSharingVms =
-                    sharing.stream().filter(vm -> !vm.equals(self)).toList();
-            shares.computeIfAbsent(name, key -> new AccountShare((int) RendezvousUtils.score(name, self), now))
-                    .resize(rate, sharingVms, otherSharingVms, now);
+            List<String> chosen = TokenHolders.choose(name, rate, dataCentreOf);
+            boolean transferred = stopping && chosen.size() > 1;
+            List<String> asked =
+                    transferred ? chosen.stream().filter(vm -> !vm.equals(self)).toList() : chosen;
+            holders.put(name, TokenHolders.inOrderOf(name, asked, dataCentreOf.get(self), dataCentreOf));
+            if (chosen.contains(self) && !transferred) {
+                List<String> others =
+                        chosen.stream().filter(vm -> !vm.equals(self)).toList();
+                held.computeIfAbsent(name, key -> new AccountTokens(now))
+                        .resize(rate.perSecond(), rate.burst(), others, now);
+            }
         });
+        List.copyOf(held.keySet()).stream()
+                .filter(name -> !limits.containsKey(name) || !holders.get(name).contains(self))
+                .forEach(name -> held.remove(name).refuseAll(now));
+    }
+
+    /**
+     * Transfers the tokens of this VM, which stops, to other holders and has them decide from now on. Accounts whose
+     * tokens no other VM holds stay here.
+     *
+     * @param self name of this VM
+     */
+    public void stop(String self) {
+        long now = clock.getAsLong();
+        stopping = true;
+        for (String name : List.copyOf(held.keySet())) {
+            List<String> others =
+                    holders.get(name).stream().filter(vm -> !vm.equals(self)).toList();
+            if (!others.isEmpty()) {
+                AccountTokens tokens = held.remove(name);
+                holders.put(name, others);
+                peers.send(others.get(0), new TokenTransfer(Map.of(name, tokens.withdrawAll(now)), Map.of(name, 0.0)));
+                tokens.refuseAll(now);
+            }
+        }
+    }
+
+    /**
+     * A VM stops and is not asked for a while.
+     *
+     * @param vm name of the VM
+     * @param unavailableMillis time for which it is not asked, milliseconds
+     */
+    public void vmStopping(String vm, long unavailableMillis) {
+        remote.vmStopping(vm, unavailableMillis);
     }
 
     /**
@@ -96,6 +128,7 @@
      */
     public void connect(PeerLinks links) {
         peers = links;
+        remote.connect(links);
     }
 
     /**
@@ -106,111 +139,145 @@
      * @param listener notified of the decision, possibly before this call returns
      */
     public void admit(Account account, long maxWaitMillis, AdmissionListener listener) {
-        AccountShare share = shares.get(account.name());
-        long now = clock.getAsLong();
-        if (share == null || share.tryTake(now)) {
+        AccountTokens tokens = held.get(account.name());
+        if (tokens != null) {
+            if (tokens.admit(maxWaitMillis, listener, clock.getAsLong())) {
+                exchange(Map.of(account.name(), tokens), clock.getAsLong());
+            }
+        } else if (holders.containsKey(account.name())) {
+            remote.admit(account.name(), holders.get(account.name()), maxWaitMillis, listener);
+        } else {
             listener.admitted();
-            return;
         }
-        share.enqueueOrRefuse(listener, now, maxWaitMillis);
-        requestTokensForWaiting(now);
     }
 
-    /** Admits or refuses waiting operations and requests missing tokens; called every few milliseconds. */
+    /** Decides on waiting operations and exchanges tokens with the other holders; called every few milliseconds. */
     public void tick() {
         long now = clock.getAsLong();
-        shares.values().forEach(share -> share.processWaiting(now));
-        if (now - lastRequestMillis
-                >= (largeFleet ? LARGE_FLEET_TOKEN_REQUEST_PERIOD_MILLIS : TOKEN_REQUEST_PERIOD_MILLIS)) {
-            lastRequestMillis = now;
-            requestTokens(shares, now);
+        held.values().forEach(tokens -> tokens.processWaiting(now));
+        remote.tick();
+        if (now - lastExchangeMillis >= EXCHANGE_PERIOD_MILLIS) {
+            lastExchangeMillis = now;
+            held.values().forEach(AccountTokens::forgetOthers);
+            exchange(held, now);
         } else {
-            requestTokensForWaiting(now);
+            exchangeForWaiting(now);
         }
     }
 
     /**
-     * Transfers tokens that this VM will not need soon to another VM.
+     * Handles a message from another VM.
      *
-     * @param vm name of the VM
-     * @param request the tokens that it requests
+     * @param vm name of the sender
+     * @param message the message
      */
-    public void tokenRequestReceived(String vm, TokenRequest request) {
-        long now = clock.getAsLong();
-        Map<String, Double> tokens = new HashMap<>();
-        request.wanted().forEach((name, requested) -> {
-            AccountShare share = shares.get(name);
-            double withdrawn = share == null ? 0 : share.withdrawUnused(requested, now);
-            if (withdrawn > 0) {
-                tokens.put(name, withdrawn);
-            }
-        });
-        if (!tokens.isEmpty()) {
-            peers.send(vm, new TokenTransfer(tokens));
+    public void received(String vm, PeerMessage message) {
+        if (message instanceof AdmissionRequest request) {
+            admissionRequested(vm, request);
+        } else if (message instanceof AdmissionReply reply) {
+            remote.replyReceived(vm, reply);
+        } else if (message instanceof TokenRequest request) {
+            tokensRequested(vm, request);
+        } else if (message instanceof TokenTransfer transfer) {
+            tokensReceived(vm, transfer);
         }
     }
 
     /**
-     * Deposits tokens that another VM transferred.
+     * The link to a VM failed: messages sent to it may be lost.
      *
-     * @param transfer the tokens
+     * @param vm name of the VM
      */
-    public void tokenTransferReceived(TokenTransfer transfer) {
-        long now = clock.getAsLong();
-        transfer.tokens().forEach((name, tokens) -> {
-            AccountShare share = shares.get(name);
-            if (share != null) {
-                share.deposit(tokens, now);
-            }
-        });
+    public void linkFailed(String vm) {
+        remote.linkFailed(vm);
     }
 
-    /** Requests tokens for the accounts whose operations wait. */
-    private void requestTokensForWaiting(long now) {
-        if (now - lastUrgentRequestMillis < MIN_URGENT_REQUEST_PERIOD_MILLIS) {
+    private void admissionRequested(String vm, AdmissionRequest request) {
+        AccountTokens tokens = held.get(request.account());
+        if (tokens == null) {
+            peers.send(vm, new AdmissionReply(request.requestId(), AdmissionReply.Outcome.NOT_HOLDER, 0));
             return;
         }
-        Map<String, AccountShare> waiting = new HashMap<>();
-        shares.forEach((name, share) -> {
-            if (share.hasWaiting()) {
-                waiting.put(name, share);
+        long now = clock.getAsLong();
+        if (tokens.admit(request.waitMillis(), new RemoteListener(vm, request.requestId()), now)) {
+            peers.send(vm, new AdmissionReply(request.requestId(), AdmissionReply.Outcome.WAITING, 0));
+            exchange(Map.of(request.account(), tokens), now);
+        }
+    }
+
+    private void tokensRequested(String vm, TokenRequest request) {
+        long now = clock.getAsLong();
+        Map<String, Double> tokens = new HashMap<>();
+        Map<String, Double> left = new HashMap<>();
+        request.needs().forEach((name, need) -> {
+            AccountTokens own = held.get(name);
+            tokens.put(name, own == null ? 0 : own.withdraw(need, now));
+            left.put(name, own == null ? 0 : own.unused(now));
+        });
+        peers.send(vm, new TokenTransfer(tokens, left));
+    }
+
+    private void tokensReceived(String vm, TokenTransfer transfer) {
+        long now = clock.getAsLong();
+        Map<String, AccountTokens> waiting = new HashMap<>();
+        transfer.tokens().forEach((name, amount) -> {
+            AccountTokens tokens = held.get(name);
+            if (tokens != null) {
+                tokens.deposit(vm, amount, transfer.left().getOrDefault(name, 0.0), now);
+                if (tokens.hasWaiting()) {
+                    waiting.put(name, tokens);
+                }
             }
         });
-        if (!waiting.isEmpty()) {
-            lastUrgentRequestMillis = now;
-            requestTokens(waiting, now);
-        }
+        exchange(waiting, now);
     }
 
-    /** Requests tokens from all VMs that share an account's rate, or in a large fleet from one of them, in rotation. */
-    private void requestTokens(Map<String, AccountShare> forShares, long now) {
-        Map<String, Map<String, Double>> requested = new HashMap<>();
-        forShares.forEach((name, share) -> {
-            double missing = share.missingTokens(now);
-            if (missing > 0) {
-                List<String> targets = largeFleet ? share.nextSharingVm().toJavaList() : share.otherSharingVms();
-                double tokensPerVm = missing * Math.min(targets.size(), REQUEST_FACTOR) / Math.max(1, targets.size());
-                targets.forEach(vm ->
-                        requested.computeIfAbsent(vm, key -> new HashMap<>()).put(name, tokensPerVm));
+    /** Requests tokens for the accounts whose operations wait. */
+    private void exchangeForWaiting(long now) {
+        Map<String, AccountTokens> waiting = new HashMap<>();
+        held.forEach((name, tokens) -> {
+            if (tokens.hasWaiting()) {
+                waiting.put(name, tokens);
             }
         });
+        exchange(waiting, now);
+    }
+
+    /** Requests missing tokens from the holder that is likely to have most of them. */
+    private void exchange(Map<String, AccountTokens> accounts, long now) {
+        Map<String, Map<String, TokenNeed>> requested = new HashMap<>();
+        accounts.forEach((name, tokens) -> tokens.need(now)
+                .forEach(need -> tokens.richestHolder(now).forEach(vm -> {
+                    tokens.recordRequest(vm, now);
+                    requested.computeIfAbsent(vm, key -> new HashMap<>()).put(name, need);
+                })));
         requested.forEach((vm, byAccount) -> peers.send(vm, new TokenRequest(byAccount)));
     }
 
-    /** Receives the decision on one operation. */
-    public interface AdmissionListener {
+    /** Sends the decision on an operation to the VM that asked for it. */
+    private final class RemoteListener implements AdmissionListener {
+
+        private final String vm;
+        private final long requestId;
 
-        /** The operation may run. */
-        void admitted();
+        RemoteListener(String vm, long requestId) {
+            this.vm = vm;
+            this.requestId = requestId;
+        }
 
-        /**
-         * The client account exceeds its rate.
-         *
-         * @param retryAfterMillis milliseconds after which an operation is likely to be admitted
-         */
-        void refused(long retryAfterMillis);
+        @Override
+        public void admitted() {
+            peers.send(vm, new AdmissionReply(requestId, AdmissionReply.Outcome.ADMITTED, 0));
+        }
 
-        /** Whether the caller still waits for the decision. */
-        boolean isPending();
+        @Override
+        public void refused(long retryAfterMillis) {
+            peers.send(vm, new AdmissionReply(requestId, AdmissionReply.Outcome.REFUSED, retryAfterMillis));
+        }
+
+        @Override
+        public boolean isPending() {
+            return true;
+        }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -9,11 +9,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.hyssopswitch.core.admission.AdmissionListener;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Route;
-import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.statement.CallerStatement;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.PreparedShape;
@@ -375,7 +375,7 @@
         completeStatement(new StatementOutcome.Failed(code, reason), Option.none());
     }
 
-    private final class RateAdmissionListener implements AccountLimiter.AdmissionListener {
+    private final class RateAdmissionListener implements AdmissionListener {
 
         private final Authorization authorization;
         private final Consumer<Authorization> start;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -26,6 +26,8 @@
 import org.hyssopswitch.pool.failover.PrimaryFailover;
 import org.hyssopswitch.pool.lease.ConnectionBorrower;
 import org.hyssopswitch.pool.lease.ConnectionLender;
+import org.hyssopswitch.pool.peer.AdmissionReply;
+import org.hyssopswitch.pool.peer.AdmissionRequest;
 import org.hyssopswitch.pool.peer.ConnectionShortage;
 import org.hyssopswitch.pool.peer.LeadershipPing;
 import org.hyssopswitch.pool.peer.LeadershipPong;
@@ -36,6 +38,7 @@
 import org.hyssopswitch.pool.peer.StoreSyncResponse;
 import org.hyssopswitch.pool.peer.TokenRequest;
 import org.hyssopswitch.pool.peer.TokenTransfer;
+import org.hyssopswitch.pool.peer.VmStopping;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.session.RequestLog;
 import org.hyssopswitch.pool.session.RequestMetrics;
@@ -66,6 +69,9 @@
     /** Number of idle sessions closed per tick during isolation, so that their callers do not reconnect all at once. */
     private static final int SESSIONS_CLOSED_PER_TICK = 1;
 
+    /** Time that a VM takes to serve again after its process has ended, milliseconds. */
+    private static final long RESTART_MILLIS = 2_000;
+
     /** Number of VMs of other data centres that are pinged at a time. */
     private static final int ISOLATION_PING_COUNT = 3;
 
@@ -127,7 +133,7 @@
                 dependencies.random(),
                 peers);
         this.membership = new FleetMembership(
-                dependencies, this::received, this::connected, borrower::linkFailed, this::fleetChanged);
+                dependencies, this::received, this::connected, this::linkFailed, this::fleetChanged);
         this.sessions = new Sessions(
                 groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
         this.catalogWatcher = new TableWatcher<>(
@@ -191,6 +197,7 @@
         loop.execute(() -> {
             LOG.info("event=drain_started sessions={} grace_ms={}", sessions.size(), graceMillis);
             lender.stop();
+            announceStop(graceMillis + RESTART_MILLIS);
             new SessionDrain(
                             loop,
                             () -> sessions.size() + lender.leaseCount(),
@@ -260,7 +267,7 @@
             return;
         }
         groups.update(catalog, directory.endpoints(), vmNames.size());
-        limiter.update(catalog, dependencies.name(), vmNames);
+        limiter.update(catalog, dependencies.name(), dataCentres);
         sessions.configure(catalog);
     }
 
@@ -280,10 +287,14 @@
         if (!dependencies.self().dataCentre().equals(dataCentres.get(vm))) {
             isolationDetector.remoteMessageReceived(loop.nowMillis());
         }
-        if (message instanceof TokenRequest request) {
-            limiter.tokenRequestReceived(vm, request);
-        } else if (message instanceof TokenTransfer transfer) {
-            limiter.tokenTransferReceived(transfer);
+        if (message instanceof AdmissionRequest
+                || message instanceof AdmissionReply
+                || message instanceof TokenRequest
+                || message instanceof TokenTransfer) {
+            limiter.received(vm, message);
+        } else if (message instanceof VmStopping stopping) {
+            borrower.vmStopping(vm, stopping.unavailableMillis());
+            limiter.vmStopping(vm, stopping.unavailableMillis());
         } else if (message instanceof ConnectionShortage shortage) {
             groups.find(shortage.group()).forEach(group -> group.releaseSurplusConnections(shortage.endpoint()));
         } else if (message instanceof PrimaryUnreachableReport
@@ -298,6 +309,18 @@
         }
     }
 
+    /** Has the other VMs turn to each other before this one falls silent. */
+    private void announceStop(long unavailableMillis) {
+        borrower.vmStopping(dependencies.name(), unavailableMillis);
+        limiter.stop(dependencies.name());
+        peers.names().forEach(vm -> peers.send(vm, new VmStopping(unavailableMillis)));
+    }
+
+    private void linkFailed(String vm) {
+        borrower.linkFailed(vm);
+        limiter.linkFailed(vm);
+    }
+
     private void connected(PeerLinks links) {
         peers = links;
         limiter.connect(links);
@@ -312,7 +335,7 @@
         vmNames = dataCentres.keySet();
         borrower.update(dataCentres);
         synchronizer.update(dataCentres);
-        failover.setCandidate(synchronizer.isRelay());
+        failover.setCandidate(synchronizer.isRelayOrStandby());
         failover.setFleetSize(vmNames.size());
         reconfigure();
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
@@ -20,8 +20,9 @@
 /**
  * Synchronises this VM with the store through relays, so that the calls to the store do not grow with the fleet.
  *
- * <p>A few VMs of each data centre are store relays and watch the store. The others poll them for changes, and watch
- * the store themselves only while no relay that is in contact with it answers. In a small fleet all VMs watch the
+ * <p>One VM of each data centre is its store relay and watches the store; a second one is the standby, which watches it
+ * as soon as the relay fails to answer. The others poll the relay for changes, or the standby while the relay does not
+ * answer, and watch the store themselves only while neither is in contact with it. In a small fleet all VMs watch the
  * store.
  *
  * <p>VMs that watch the store also poll each other for later configurations. A store that comes back from a copy shows an
@@ -32,7 +33,7 @@
     /** Maximum number of VMs in a fleet in which all VMs watch the store. */
     private static final int MAX_VMS_WITHOUT_RELAYS = 8;
 
-    /** Relays per data centre: one may fail without effect on the other VMs. */
+    /** The relay and the standby of a data centre. */
     private static final int RELAYS_PER_DATA_CENTRE = 2;
 
     /**
@@ -44,11 +45,17 @@
     /** Period in which a VM that watches the store polls another one for a later configuration, milliseconds. */
     private static final long CONFIGURATION_POLL_PERIOD_MILLIS = 2_000;
 
+    /** Time without an answer from the relay after which the standby is polled instead, milliseconds: one lost poll. */
+    private static final long RELAY_SILENCE_MILLIS = 700;
+
+    /** Time without an answer from the relay after which the standby watches the store, milliseconds: two lost polls. */
+    private static final long STANDBY_TIMEOUT_MILLIS = 1_000;
+
     /**
-     * Time without an answer from a relay in contact with the store after which a VM watches the store itself,
-     * milliseconds.
+     * Time without an answer from a relay or standby in contact with the store after which a VM watches the store itself,
+     * milliseconds: the standby had time to take over.
      */
-    private static final long RELAY_TIMEOUT_MILLIS = 1_000;
+    private static final long RELAY_TIMEOUT_MILLIS = 2_200;
 
     private static final Logger LOG = LogManager.getLogger(StoreSynchronizer.class);
 
@@ -59,6 +66,7 @@
     private List<String> relays = List.of();
     private List<String> otherWatchers = List.of();
     private boolean relay = true;
+    private boolean standby;
     private boolean watching = true;
     private long lastRequestMillis;
     private long lastServedMillis;
@@ -82,8 +90,11 @@
         String own = dataCentres.get(self);
         List<String> elected =
                 rankedVms(dataCentres, own).limit(RELAYS_PER_DATA_CENTRE).toList();
-        relay = dataCentres.size() <= MAX_VMS_WITHOUT_RELAYS || elected.contains(self);
-        relays = relay ? List.of() : elected;
+        relay = dataCentres.size() <= MAX_VMS_WITHOUT_RELAYS || elected.indexOf(self) == 0;
+        standby = !relay && elected.contains(self);
+        relays = relay
+                ? List.of()
+                : elected.stream().filter(vm -> !vm.equals(self)).toList();
         otherWatchers = relay ? otherWatchers(dataCentres) : List.of();
     }
 
@@ -93,8 +104,7 @@
         return dataCentres.values().stream()
                 .distinct()
                 .sorted()
-                .flatMap(dataCentre -> rankedVms(dataCentres, dataCentre)
-                        .limit(allWatch ? dataCentres.size() : RELAYS_PER_DATA_CENTRE))
+                .flatMap(dataCentre -> rankedVms(dataCentres, dataCentre).limit(allWatch ? dataCentres.size() : 1))
                 .filter(vm -> !vm.equals(self))
                 .toList();
     }
@@ -106,9 +116,9 @@
                 .sorted(RendezvousUtils.byScore("relay", vm -> vm));
     }
 
-    /** Returns whether this VM watches the store for others, or all VMs do. */
-    boolean isRelay() {
-        return relay;
+    /** Returns whether this VM watches the store for others, or would if the relay failed, or all VMs do. */
+    boolean isRelayOrStandby() {
+        return relay || standby;
     }
 
     /** Polls a relay when due and starts or stops watching the store; called every few milliseconds. */
@@ -118,11 +128,11 @@
         long periodMillis = relay ? CONFIGURATION_POLL_PERIOD_MILLIS : SYNC_PERIOD_MILLIS;
         if (!polled.isEmpty() && now - lastRequestMillis >= periodMillis) {
             lastRequestMillis = now;
-            relayIndex = (relayIndex + 1) % polled.size();
             peers.send(
-                    polled.get(relayIndex), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
+                    nextPolled(polled, now), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
         }
-        boolean shouldWatch = relay || now - lastServedMillis >= RELAY_TIMEOUT_MILLIS;
+        long timeoutMillis = standby ? STANDBY_TIMEOUT_MILLIS : RELAY_TIMEOUT_MILLIS;
+        boolean shouldWatch = relay || now - lastServedMillis >= timeoutMillis;
         if (shouldWatch != watching) {
             watching = shouldWatch;
             LOG.info(
@@ -134,6 +144,15 @@
         }
     }
 
+    /** Returns the next of the other watchers in rotation, or the relay unless it has not answered for a while. */
+    private String nextPolled(List<String> polled, long now) {
+        if (relay || now - lastServedMillis >= RELAY_SILENCE_MILLIS) {
+            relayIndex = (relayIndex + 1) % polled.size();
+            return polled.get(relayIndex);
+        }
+        return polled.get(relayIndex % polled.size());
+    }
+
     void received(String vm, PeerMessage message) {
         if (message instanceof StoreSyncRequest request) {
             sendResponse(vm, request);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
@@ -52,6 +52,31 @@
         assertTrue(atReplicas >= callers.size() / 2, atReplicas + " of " + callers.size());
     }
 
+    @Test
+    void servesWithoutDelayWhenALenderFallsSilentThatAnnouncedItsStop() {
+        assertFalse(writesAtOnceAfterASilentStop(false), "a borrower must notice the loss by a timeout");
+        assertTrue(writesAtOnceAfterASilentStop(true), "a borrower must not ask a VM that announced its stop");
+    }
+
+    private boolean writesAtOnceAfterASilentStop(boolean announced) {
+        TestPoolFleet stopping = new TestPoolFleet(VMS, CONNECTIONS, ACCOUNTS, true);
+        int lender = stopping.lenderIndex("e1");
+        int vm = other(lender);
+        stopping.connectCaller(vm, TestPool.LATEST, 1).write("before");
+        stopping.advance(300);
+        if (announced) {
+            stopping.announceStop(lender, 8_000);
+        }
+        stopping.stopLending(lender);
+        stopping.advance(200);
+        stopping.network().setPartitioned("vm-" + lender, true);
+        stopping.advance(4_000);
+        FakeCaller caller = stopping.connectCaller(vm, TestPool.LATEST, 1);
+        caller.write("after");
+        stopping.advance(100);
+        return !caller.replies().isEmpty() && caller.lastReply().succeeded();
+    }
+
     @Test
     void runsATransactionOnOneConnectionAndReturnsIt() {
         int lender = fleet.lenderIndex("e1");
