--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/TokenHolders.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/TokenHolderUtils.java
@@ -16,7 +16,7 @@
  * be too small to be of use. The parts add up to the rate and the burst, so that no loss of VMs or messages lets an
  * account exceed them.
  */
-public final class TokenHolders {
+public final class TokenHolderUtils {
 
     /** Smallest burst of a part, in tokens: with less, two operations that arrive together need two holders. */
     private static final double MIN_PART_BURST_TOKENS = 2;
@@ -27,7 +27,7 @@
      */
     private static final double MIN_FURTHER_PART_BURST_TOKENS = 8;
 
-    private TokenHolders() {}
+    private TokenHolderUtils() {}
 
     /**
      * Returns the VMs that hold equal parts of an account's rate and burst.
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/store/StoreEraTracker.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/store/StoreEraTracker.java
@@ -33,11 +33,6 @@
         return Math.max(0, latest);
     }
 
-    /** Whether an answer of the store has been observed. */
-    public boolean isKnown() {
-        return latest != UNKNOWN;
-    }
-
     /**
      * Evaluates the era that an answer of the store reports.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -8,7 +8,7 @@
 import java.util.stream.Collectors;
 import org.hyssopswitch.core.admission.AccountTokens;
 import org.hyssopswitch.core.admission.AdmissionListener;
-import org.hyssopswitch.core.admission.TokenHolders;
+import org.hyssopswitch.core.admission.TokenHolderUtils;
 import org.hyssopswitch.core.admission.TokenNeed;
 import org.hyssopswitch.core.configuration.Rate;
 import org.hyssopswitch.core.message.PeerMessage;
@@ -75,11 +75,11 @@
         appliedDataCentres = Map.copyOf(dataCentreOf);
         holders.clear();
         limits.forEach((name, rate) -> {
-            List<String> chosen = TokenHolders.choose(name, rate, dataCentreOf);
+            List<String> chosen = TokenHolderUtils.choose(name, rate, dataCentreOf);
             boolean transferred = stopping && chosen.size() > 1;
             List<String> asked =
                     transferred ? chosen.stream().filter(vm -> !vm.equals(self)).toList() : chosen;
-            holders.put(name, TokenHolders.inOrderOf(name, asked, dataCentreOf.get(self), dataCentreOf));
+            holders.put(name, TokenHolderUtils.inOrderOf(name, asked, dataCentreOf.get(self), dataCentreOf));
             if (chosen.contains(self) && !transferred) {
                 List<String> others =
                         chosen.stream().filter(vm -> !vm.equals(self)).toList();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/EraCheckUtils.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/EraCheckUtils.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.store;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -50,6 +51,16 @@
         return positionEra == era ? Either.right(era) : Either.left(new StoreFailure.EraChanged(positionEra, era));
     }
 
+    /**
+     * Returns the era, or the failure if the condition of a write is void in it.
+     *
+     * @param expected position of the object's last change; nothing if the object must not exist, which holds in any era
+     * @param era era of the answer
+     */
+    public static Either<StoreFailure, Long> checkExpected(Option<StorePosition> expected, long era) {
+        return expected.map(position -> checkPosition(position.era(), era)).getOrElse(Either.right(era));
+    }
+
     private static Either<StoreFailure, Long> evaluate(EraObservation observation, String source) {
         if (observation instanceof EraObservation.Outdated outdated) {
             LOG.warn(
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.store;
 
 import io.vavr.control.Either;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -101,12 +102,7 @@
 
     private void list() {
         listNumber++;
-        int number = listNumber;
-        table.list(false, result -> {
-            if (number == listNumber) {
-                handleListResult(result);
-            }
-        });
+        table.list(false, unlessListedAgain(this::handleListResult));
     }
 
     private void handleListResult(Either<StoreFailure, Listing<T>> result) {
@@ -125,12 +121,7 @@
         if (paused) {
             return;
         }
-        int number = listNumber;
-        table.watch(position, maxWaitMillis, result -> {
-            if (number == listNumber) {
-                handleWatchResult(result);
-            }
-        });
+        table.watch(position, maxWaitMillis, unlessListedAgain(this::handleWatchResult));
     }
 
     private void handleWatchResult(Either<StoreFailure, Listing<T>> result) {
@@ -173,12 +164,18 @@
             LOG.warn("event=store_lost table={} cause=\"{}\"", name, failure.describe());
         }
         consecutiveFailures++;
+        Consumer<Runnable> guarded = unlessListedAgain(Runnable::run);
+        loop.schedule(backoff.delayMillis(consecutiveFailures), () -> guarded.accept(call));
+    }
+
+    /** Returns a handler that does nothing once the objects are being listed again. */
+    private <R> Consumer<R> unlessListedAgain(Consumer<R> handler) {
         int number = listNumber;
-        loop.schedule(backoff.delayMillis(consecutiveFailures), () -> {
+        return result -> {
             if (number == listNumber) {
-                call.run();
+                handler.accept(result);
             }
-        });
+        };
     }
 
     /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
@@ -63,8 +63,7 @@
     private final StoreView view;
     private final LongSupplier clock;
     private PeerLinks peers;
-    private List<String> relays = List.of();
-    private List<String> otherWatchers = List.of();
+    private List<String> polled = List.of();
     private boolean relay = true;
     private boolean standby;
     private boolean watching = true;
@@ -92,10 +91,9 @@
                 rankedVms(dataCentres, own).limit(RELAYS_PER_DATA_CENTRE).toList();
         relay = dataCentres.size() <= MAX_VMS_WITHOUT_RELAYS || elected.indexOf(self) == 0;
         standby = !relay && elected.contains(self);
-        relays = relay
-                ? List.of()
+        polled = relay
+                ? otherWatchers(dataCentres)
                 : elected.stream().filter(vm -> !vm.equals(self)).toList();
-        otherWatchers = relay ? otherWatchers(dataCentres) : List.of();
     }
 
     /** Returns the VMs of all data centres that watch the store, except this one. */
@@ -124,12 +122,10 @@
     /** Polls a relay when due and starts or stops watching the store; called every few milliseconds. */
     void tick() {
         long now = clock.getAsLong();
-        List<String> polled = relay ? otherWatchers : relays;
         long periodMillis = relay ? CONFIGURATION_POLL_PERIOD_MILLIS : SYNC_PERIOD_MILLIS;
         if (!polled.isEmpty() && now - lastRequestMillis >= periodMillis) {
             lastRequestMillis = now;
-            peers.send(
-                    nextPolled(polled, now), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
+            peers.send(nextPolled(now), new StoreSyncRequest(view.catalog().version(), digest(view.endpoints())));
         }
         long timeoutMillis = standby ? STANDBY_TIMEOUT_MILLIS : RELAY_TIMEOUT_MILLIS;
         boolean shouldWatch = relay || now - lastServedMillis >= timeoutMillis;
@@ -145,7 +141,7 @@
     }
 
     /** Returns the next of the other watchers in rotation, or the relay unless it has not answered for a while. */
-    private String nextPolled(List<String> polled, long now) {
+    private String nextPolled(long now) {
         if (relay || now - lastServedMillis >= RELAY_SILENCE_MILLIS) {
             relayIndex = (relayIndex + 1) % polled.size();
             return polled.get(relayIndex);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.hyssopswitch.core.admission.AdmissionListener;
-import org.hyssopswitch.core.admission.TokenHolders;
+import org.hyssopswitch.core.admission.TokenHolderUtils;
 import org.hyssopswitch.core.configuration.Rate;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.pool.catalog.Account;
@@ -127,7 +127,7 @@
         vms = 21;
         start();
         run(vm -> 0.0, 3_000);
-        lost.add(Integer.parseInt(TokenHolders.choose("school", new Rate(RATE, BURST), dataCentres())
+        lost.add(Integer.parseInt(TokenHolderUtils.choose("school", new Rate(RATE, BURST), dataCentres())
                 .get(0)));
         run(vm -> lost.contains(vm) ? 0.0 : 0.4 * RATE / vms, RUN_MILLIS);
         assertTrue(refused <= 0.02 * (admitted + refused), refused + " of " + (admitted + refused) + " refused");
@@ -138,7 +138,7 @@
         vms = 21;
         start();
         run(vm -> 0.0, 5_000);
-        for (String holder : TokenHolders.choose("school", new Rate(RATE, BURST), dataCentres())) {
+        for (String holder : TokenHolderUtils.choose("school", new Rate(RATE, BURST), dataCentres())) {
             int stopped = Integer.parseInt(holder);
             fleet.get(stopped).stop(holder);
             IntStream.range(0, vms).filter(vm -> vm != stopped).forEach(vm -> fleet.get(vm)
@@ -173,7 +173,7 @@
     void refusesAtOnceOperationsThatTheFleetRateCannotAdmitWithinTheWait() {
         start();
         loop.advance(200);
-        int holder = Integer.parseInt(TokenHolders.choose("school", new Rate(RATE, BURST), dataCentres())
+        int holder = Integer.parseInt(TokenHolderUtils.choose("school", new Rate(RATE, BURST), dataCentres())
                 .get(0));
         for (int i = 0; i < 500; i++) {
             admit(holder);
@@ -188,7 +188,7 @@
     void refusesWithinARoundTripWhatAnotherVmDecidesOn() {
         start();
         loop.advance(200);
-        List<String> holders = TokenHolders.choose("school", new Rate(RATE, BURST), dataCentres());
+        List<String> holders = TokenHolderUtils.choose("school", new Rate(RATE, BURST), dataCentres());
         int other = IntStream.range(0, vms)
                 .filter(vm -> !holders.contains(String.valueOf(vm)))
                 .findFirst()
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/FleetRateReplayTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/FleetRateReplayTests.java
@@ -5,7 +5,6 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,10 +12,10 @@
 import org.hyssopswitch.core.admission.AdmissionListener;
 import org.hyssopswitch.core.configuration.Rate;
 import org.hyssopswitch.core.limit.TokenBucket;
-import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.testing.FakePeerNetwork;
 import org.hyssopswitch.pool.testing.ManualLoop;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -31,11 +30,11 @@
     private static final double OPERATIONS_PER_SECOND = 400;
     private static final double LIMIT_FACTOR = 1.6;
     private static final int RUN_MILLIS = 20_000;
-    private static final long DELIVERY_MILLIS = 2;
     private static final long WAIT_MILLIS = 24;
     private static final double MAX_WRONGFUL_FRACTION = 0.001;
 
     private final ManualLoop loop = new ManualLoop();
+    private final FakePeerNetwork network = new FakePeerNetwork(loop);
     private final Random random = new Random(11);
     private final List<Account> accounts = new ArrayList<>();
     private final List<Double> rates = new ArrayList<>();
@@ -44,7 +43,6 @@
     private int withinRate;
     private int wrongfullyRefused;
     private int refusedByEvenSplit;
-    private long sentMessages;
 
     @ParameterizedTest
     @CsvSource({"6, 3", "22, 5", "95, 5", "300, 24"})
@@ -67,7 +65,7 @@
         }
         loop.advance(1_000);
         String figures = wrongfullyRefused + " of " + withinRate + " refused (" + refusedByEvenSplit
-                + " by an even split), " + sentMessages + " messages";
+                + " by an even split), " + network.sentCount() + " messages";
         assertTrue(wrongfullyRefused <= MAX_WRONGFUL_FRACTION * withinRate, figures);
         assertTrue(refusedByEvenSplit > 100 * Math.max(1, wrongfullyRefused) || vms == 6, figures);
         assertEquals(0, fleet.size() - vms);
@@ -94,7 +92,10 @@
         }
         Catalog catalog = Catalog.of(1, List.of(), List.of(), byKey, 3_000);
         for (int i = 0; i < vms; i++) {
-            AccountLimiter limiter = new AccountLimiter(new Links(i), loop::nowMillis);
+            int vm = i;
+            PeerLinks links =
+                    network.join("vm-" + i, (from, message) -> fleet.get(vm).received(from, message));
+            AccountLimiter limiter = new AccountLimiter(links, loop::nowMillis);
             limiter.update(catalog, "vm-" + i, dataCentreOf);
             fleet.add(limiter);
         }
@@ -142,30 +143,4 @@
             }
         });
     }
-
-    private final class Links implements PeerLinks {
-
-        private final int self;
-
-        Links(int self) {
-            this.self = self;
-        }
-
-        @Override
-        public void send(String vm, PeerMessage message) {
-            sentMessages++;
-            int receiver = Integer.parseInt(vm.substring("vm-".length()));
-            loop.schedule(DELIVERY_MILLIS, () -> fleet.get(receiver).received("vm-" + self, message));
-        }
-
-        @Override
-        public void sendToSubset(PeerMessage message) {
-            names().forEach(name -> send(name, message));
-        }
-
-        @Override
-        public Collection<String> names() {
-            return List.of();
-        }
-    }
 }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
@@ -193,9 +193,7 @@
                     return Either.left(new StoreFailure.Conflict());
                 }
                 put(name, value);
-                return expected.map(position -> EraCheckUtils.checkPosition(position.era(), era))
-                        .getOrElse(Either.right(era))
-                        .map(checked -> objects.get(name));
+                return EraCheckUtils.checkExpected(expected, era).map(checked -> objects.get(name));
             });
         }
 
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakePeerNetwork.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakePeerNetwork.java
@@ -19,6 +19,7 @@
     private final Map<String, BiConsumer<String, PeerMessage>> receivers = new LinkedHashMap<>();
     private final Set<String> partitioned = new HashSet<>();
     private final Set<Class<? extends PeerMessage>> dropNextTypes = new HashSet<>();
+    private long sent;
 
     /** Creates a network without VMs. */
     public FakePeerNetwork(ManualLoop loop) {
@@ -40,6 +41,11 @@
         }
     }
 
+    /** Returns the number of messages that were sent. */
+    public long sentCount() {
+        return sent;
+    }
+
     /** Drops the next message of a type. */
     public void dropNext(Class<? extends PeerMessage> type) {
         dropNextTypes.add(type);
@@ -55,6 +61,7 @@
 
         @Override
         public void send(String vm, PeerMessage message) {
+            sent++;
             if (dropNextTypes.remove(message.getClass())) {
                 return;
             }
