--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestLog.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/RequestLog.java
@@ -17,6 +17,7 @@
     private static final Logger LOG = LogManager.getLogger(RequestLog.class);
 
     private final LongSupplier clock;
+    private final LongSupplier configurationAge;
     private long windowStartMillis;
     private int linesInWindow;
     private long suppressed;
@@ -25,27 +26,35 @@
      * Creates a log.
      *
      * @param clock milliseconds of the monotonic clock
+     * @param configurationAge milliseconds since the configuration in force was last confirmed to be the latest
      */
-    public RequestLog(LongSupplier clock) {
+    public RequestLog(LongSupplier clock, LongSupplier configurationAge) {
         this.clock = clock;
+        this.configurationAge = configurationAge;
         this.windowStartMillis = clock.getAsLong();
     }
 
     void sessionRefused(String database, ErrorCode code, long version) {
         if (acquireLine()) {
-            LOG.info("event=session_refused database={} code={} configuration={}", database, code, version);
+            LOG.info(
+                    "event=session_refused database={} code={} configuration={} configuration_age_ms={}",
+                    database,
+                    code,
+                    version,
+                    configurationAge.getAsLong());
         }
     }
 
     void requestCompleted(RequestContext context, Reply reply, long tookMillis) {
         if (reply.outcome() instanceof StatementOutcome.Failed failed && acquireLine()) {
             LOG.info(
-                    "event=request_failed request={} database={} account={} configuration={} code={} took_ms={}"
-                            + " suppressed={} cause=\"{}\"",
+                    "event=request_failed request={} database={} account={} configuration={}"
+                            + " configuration_age_ms={} code={} took_ms={} suppressed={} cause=\"{}\"",
                     context.request(),
                     context.database(),
                     context.account(),
                     context.configuration(),
+                    configurationAge.getAsLong(),
                     failed.code(),
                     tookMillis,
                     suppressed,
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -37,6 +37,7 @@
     private boolean watching;
     private int consecutiveFailures;
     private long failedSinceMillis;
+    private volatile long confirmedMillis;
 
     /**
      * Creates a watcher.
@@ -61,6 +62,7 @@
         this.maxWaitMillis = maxWaitMillis;
         this.loop = loop;
         this.clock = loop::nowMillis;
+        this.confirmedMillis = clock.getAsLong();
         this.backoff = new Backoff(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS, random);
     }
 
@@ -87,6 +89,11 @@
         return isListed() && consecutiveFailures == 0;
     }
 
+    /** Returns the time since the store last confirmed what was read, milliseconds; may be called on any thread. */
+    public long unconfirmedMillis() {
+        return clock.getAsLong() - confirmedMillis;
+    }
+
     /** The store has come back from a copy: lists the objects again, whatever calls are in flight. */
     public void eraAdvanced() {
         listener.storeRecovered();
@@ -147,6 +154,7 @@
     }
 
     private void callSucceeded() {
+        confirmedMillis = clock.getAsLong();
         if (consecutiveFailures > 0) {
             LOG.info(
                     "event=store_regained table={} failures={} away_ms={}",
@@ -162,6 +170,13 @@
         if (consecutiveFailures == 0) {
             failedSinceMillis = clock.getAsLong();
             LOG.warn("event=store_lost table={} cause=\"{}\"", name, failure.describe());
+        } else {
+            LOG.info(
+                    "event=store_call_failed table={} failures={} away_ms={} cause=\"{}\"",
+                    name,
+                    consecutiveFailures + 1,
+                    clock.getAsLong() - failedSinceMillis,
+                    failure.describe());
         }
         consecutiveFailures++;
         Consumer<Runnable> guarded = unlessListedAgain(Runnable::run);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -137,7 +137,11 @@
         this.membership = new FleetMembership(
                 dependencies, this::received, this::connected, this::linkFailed, this::fleetChanged);
         this.sessions = new Sessions(
-                groups, limiter, new RequestLog(loop::nowMillis), new RequestMetrics(metrics), loop::nowMillis);
+                groups,
+                limiter,
+                new RequestLog(loop::nowMillis, this::configurationAgeMillis),
+                new RequestMetrics(metrics),
+                loop::nowMillis);
         this.catalogWatcher = new TableWatcher<>(
                 "configuration",
                 dependencies.catalogs(),
@@ -157,6 +161,7 @@
         this.warmUp = new LinkWarmUp(vm -> peers.send(vm, new LenderPing(false)));
         metrics.gauge("sessions", () -> sessions::size);
         metrics.gauge("configuration_version", () -> () -> catalog.version());
+        metrics.gauge("configuration_age_ms", () -> this::configurationAgeMillis);
         metrics.gauge("fleet_vms", () -> () -> vmNames.size());
     }
 
@@ -279,13 +284,19 @@
         }
     }
 
+    /** Returns the time since the configuration in force was last confirmed to be the latest, milliseconds. */
+    private long configurationAgeMillis() {
+        return Math.min(catalogWatcher.unconfirmedMillis(), synchronizer.unservedMillis());
+    }
+
     private void applyCatalog(Catalog next, String from) {
         if (next.version() > catalog.version()) {
             LOG.info(
-                    "event=configuration_applied version={} previous={} from={}",
+                    "event=configuration_applied version={} previous={} from={} previous_age_ms={}",
                     next.version(),
                     catalog.version(),
-                    from);
+                    from,
+                    configurationAgeMillis());
             catalog = next;
             reconfigure();
         }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/StoreSynchronizer.java
@@ -68,7 +68,7 @@
     private boolean standby;
     private boolean watching = true;
     private long lastRequestMillis;
-    private long lastServedMillis;
+    private volatile long lastServedMillis;
     private int relayIndex;
 
     StoreSynchronizer(String self, StoreView view, PeerLinks peers, LongSupplier clock) {
@@ -119,6 +119,14 @@
         return relay || standby;
     }
 
+    /**
+     * Returns the time since a relay last answered while it was in contact with the store, milliseconds; may be called on
+     * any thread.
+     */
+    long unservedMillis() {
+        return clock.getAsLong() - lastServedMillis;
+    }
+
     /** Polls a relay when due and starts or stops watching the store; called every few milliseconds. */
     void tick() {
         long now = clock.getAsLong();
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
@@ -99,6 +99,19 @@
         assertEquals(List.of("list", "regained", "a=1"), seen);
     }
 
+    @Test
+    void reportsSinceWhenTheStoreHasNotConfirmedWhatWasRead() {
+        TableWatcher<String> watcher = start();
+        loop.advance(50);
+        table.setUnavailable(true);
+        loop.advance(5_000);
+        assertTrue(watcher.unconfirmedMillis() >= 5_000, watcher.unconfirmedMillis() + " ms");
+        table.setUnavailable(false);
+        table.put("a", "1");
+        loop.advance(1_000);
+        assertTrue(watcher.unconfirmedMillis() < 1_000, watcher.unconfirmedMillis() + " ms");
+    }
+
     @Test
     void limitsCallsWhileNothingChangesOrTheStoreIsUnavailable() {
         start();
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -71,7 +71,7 @@
         sessions = new Sessions(
                 groups,
                 limiter,
-                new RequestLog(loop::nowMillis),
+                new RequestLog(loop::nowMillis, () -> 0),
                 new RequestMetrics(new MetricRegistry()),
                 loop::nowMillis);
         configure(catalog(maxConnections, Map.of(KEY, account("small"), "other-key", account("large"))), vms);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
@@ -153,7 +153,7 @@
             sessions = new Sessions(
                     groups,
                     limiter,
-                    new RequestLog(loop::nowMillis),
+                    new RequestLog(loop::nowMillis, () -> 0),
                     new RequestMetrics(new MetricRegistry()),
                     loop::nowMillis);
         }
