--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -24,6 +25,7 @@
 import org.hyssopswitch.core.identity.VmId;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -119,6 +121,25 @@
         assertTrue(second.receivedNothing());
     }
 
+    @Test
+    @Tag("known-red")
+    void replacesALinkThatHasGoneSilent() throws Exception {
+        GrizzlyPeerTransport a = open("a", 1, SECRET, first);
+        GrizzlyPeerTransport b = open("b", 1, SECRET, second);
+        try (SilencingProxy proxy = new SilencingProxy(b.self().port())) {
+            VmAddress to = address("b", 1, proxy.port());
+            a.send(to, new SampleMessages.Text("before"));
+            assertEquals(new SampleMessages.Text("before"), second.next().message());
+            proxy.silenceOpenConnections();
+            for (int i = 0; i < 40 && second.receivedNothing(); i++) {
+                a.send(to, new SampleMessages.Text("after"));
+                clock.addAndGet(100);
+                Thread.sleep(20);
+            }
+            assertFalse(second.receivedNothing(), "a message must arrive within 4 s");
+        }
+    }
+
     @Test
     void aLinkIsDialledAgainOnlyAfterTheBackoff() throws Exception {
         GrizzlyPeerTransport a = open("a", 1, SECRET, first);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -58,7 +58,7 @@
      * Maximum duration of a watch of the configuration, milliseconds: with the timeout of the call it ends within the
      * 4 s in which a VM must follow changes again after a connection has become unresponsive.
      */
-    private static final long MAX_CONFIGURATION_WATCH_MILLIS = 2_800;
+    public static final long MAX_CONFIGURATION_WATCH_MILLIS = 2_800;
 
     /** Maximum duration of a watch of the endpoints, milliseconds: a VM must leave a draining endpoint within 7 s. */
     private static final long MAX_ENDPOINT_WATCH_MILLIS = 4_500;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/store/TableWatcherTests.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Random;
 import org.hyssopswitch.pool.testing.FakeObjectTable;
 import org.hyssopswitch.pool.testing.ManualLoop;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class TableWatcherTests {
@@ -17,6 +19,7 @@
     private final ManualLoop loop = new ManualLoop();
     private final FakeObjectTable<String> table = new FakeObjectTable<>(loop);
     private final List<String> seen = new ArrayList<>();
+    private boolean failNextChange;
 
     @Test
     void reportsChangesAndRemovalsPromptly() {
@@ -99,6 +102,19 @@
         assertEquals(List.of("list", "regained", "a=1"), seen);
     }
 
+    @Test
+    @Tag("known-red")
+    void keepsWatchingAfterItsListenerHasFailed() {
+        start();
+        loop.advance(50);
+        failNextChange = true;
+        table.put("a", "1");
+        assertThrows(IllegalStateException.class, () -> loop.advance(50));
+        table.put("a", "2");
+        loop.advance(WAIT_MILLIS);
+        assertEquals(List.of("list", "a=2"), seen);
+    }
+
     @Test
     void reportsSinceWhenTheStoreHasNotConfirmedWhatWasRead() {
         TableWatcher<String> watcher = start();
@@ -144,6 +160,10 @@
 
         @Override
         public void changed(Listing<String> changes) {
+            if (failNextChange) {
+                failNextChange = false;
+                throw new IllegalStateException("this change cannot be applied");
+            }
             changes.objects()
                     .forEach(one -> seen.add(
                             one.value().map(value -> one.name() + "=" + value).getOrElse(one.name() + " removed")));
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
@@ -25,6 +25,9 @@
     private static final long RESPONSE_DELAY_MILLIS = 8;
     private static final long TIMEOUT_MILLIS = 1_200;
 
+    /** Time that a caller gives the answer of a watch after its longest wait, milliseconds. */
+    private static final long WATCH_MARGIN_MILLIS = 700;
+
     private final ManualLoop loop;
     private final Map<String, VersionedObject<T>> objects = new LinkedHashMap<>();
     private final List<VersionedObject<T>> history = new ArrayList<>();
@@ -33,6 +36,7 @@
     private long revision = 1;
     private boolean unavailable;
     private boolean dropResponses;
+    private boolean silent;
     private boolean historyDiscarded;
     private int calls;
 
@@ -46,6 +50,11 @@
         unavailable = fail;
     }
 
+    /** Swallows calls, also those in flight: they end by their timeouts, whenever the outage ends. */
+    public void setSilent(boolean swallow) {
+        silent = swallow;
+    }
+
     /** Carries out calls but drops their responses. */
     public void setDropResponses(boolean drop) {
         dropResponses = drop;
@@ -203,6 +212,8 @@
                     .toList();
             if (unavailable) {
                 done.accept(Either.left(new StoreFailure.Unavailable("cut")));
+            } else if (silent) {
+                timeOut(untilMillis + WATCH_MARGIN_MILLIS, done);
             } else if (from.revision() > revision) {
                 done.accept(observe(Either.left(new StoreFailure.HistoryGone())));
             } else if (!changed.isEmpty() || loop.nowMillis() >= untilMillis) {
@@ -215,8 +226,18 @@
             }
         }
 
+        private <R> void timeOut(long atMillis, Consumer<Either<StoreFailure, R>> done) {
+            loop.schedule(
+                    atMillis - loop.nowMillis(),
+                    () -> done.accept(Either.left(new StoreFailure.Unavailable("no answer"))));
+        }
+
         private <R> void answer(Consumer<Either<StoreFailure, R>> done, Supplier<Either<StoreFailure, R>> call) {
             calls++;
+            if (silent) {
+                timeOut(loop.nowMillis() + TIMEOUT_MILLIS, done);
+                return;
+            }
             loop.schedule(RESPONSE_DELAY_MILLIS, () -> {
                 if (unavailable) {
                     done.accept(Either.left(new StoreFailure.Unavailable("away")));
@@ -224,8 +245,7 @@
                 }
                 Either<StoreFailure, R> result = call.get();
                 if (dropResponses) {
-                    loop.schedule(
-                            TIMEOUT_MILLIS, () -> done.accept(Either.left(new StoreFailure.Unavailable("no answer"))));
+                    timeOut(loop.nowMillis() + TIMEOUT_MILLIS, done);
                 } else {
                     done.accept(observe(result));
                 }
