--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Which open connections of a client may be used again. */
+package org.hyssopswitch.core.connection;
