Return to the store within the time allowed, however an outage ends

Cause: a watch sent just before the end waited for its whole timeout (2,800 + 700 ms) and its retry for up to 800 ms of backoff.

Evidence: ConfigurationAfterOutageTests, 40 ends of an outage: up to 4,041 ms before, allowed are 4,000; all pass now, and the VM is current within a second.

Why this works: after a failure the watch asks without waiting, with the timeout of an ordinary call (1,200 ms), so that an attempt ends within 2 s of an outage's end whatever was lost, and success shows at once. Price: a VM that watches makes 17 instead of 12 idle watches of the configuration in 34 s.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/store/TableWatcher.java
@@ -22,6 +22,9 @@
     private static final long MIN_RETRY_DELAY_MILLIS = 100;
 
     private static final long MAX_RETRY_DELAY_MILLIS = 800;
+
+    /** Wait of a watch after a failure, milliseconds: the store answers at once, which shows that it can be reached. */
+    private static final long RECOVERY_WAIT_MILLIS = 1;
     private static final Logger LOG = LogManager.getLogger(TableWatcher.class);
 
     private final String name;
@@ -128,7 +131,8 @@
         if (paused) {
             return;
         }
-        table.watch(position, maxWaitMillis, unlessListedAgain(this::handleWatchResult));
+        long waitMillis = consecutiveFailures > 0 ? RECOVERY_WAIT_MILLIS : maxWaitMillis;
+        table.watch(position, waitMillis, unlessListedAgain(this::handleWatchResult));
     }
 
     private void handleWatchResult(Either<StoreFailure, Listing<T>> result) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -55,10 +55,11 @@
     private static final long TICK_MILLIS = 20;
 
     /**
-     * Maximum duration of a watch of the configuration, milliseconds: with the timeout of the call it ends within the
-     * 4 s in which a VM must follow changes again after a connection has become unresponsive.
+     * Maximum duration of a watch of the configuration, milliseconds. A VM must follow changes again within 4 s after a
+     * connection has become unresponsive; the rest of that time is left for the timeout of the call, its retry on a new
+     * connection, and the decoding of a large configuration on a slow VM.
      */
-    public static final long MAX_CONFIGURATION_WATCH_MILLIS = 2_800;
+    public static final long MAX_CONFIGURATION_WATCH_MILLIS = 2_000;
 
     /** Maximum duration of a watch of the endpoints, milliseconds: a VM must leave a draining endpoint within 7 s. */
     private static final long MAX_ENDPOINT_WATCH_MILLIS = 4_500;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeObjectTable.java
@@ -180,7 +180,7 @@
                 return;
             }
             calls++;
-            poll(from, loop.nowMillis() + maxWaitMillis, done);
+            poll(from, loop.nowMillis(), loop.nowMillis() + maxWaitMillis, done);
         }
 
         @Override
@@ -206,14 +206,18 @@
             });
         }
 
-        private void poll(StorePosition from, long untilMillis, Consumer<Either<StoreFailure, Listing<T>>> done) {
+        private void poll(
+                StorePosition from,
+                long sentMillis,
+                long untilMillis,
+                Consumer<Either<StoreFailure, Listing<T>>> done) {
             List<VersionedObject<T>> changed = history.stream()
                     .filter(object -> object.position().revision() > from.revision())
                     .toList();
             if (unavailable) {
                 done.accept(Either.left(new StoreFailure.Unavailable("cut")));
             } else if (silent) {
-                timeOut(untilMillis + WATCH_MARGIN_MILLIS, done);
+                timeOut(Math.max(sentMillis + TIMEOUT_MILLIS, untilMillis + WATCH_MARGIN_MILLIS), done);
             } else if (from.revision() > revision) {
                 done.accept(observe(Either.left(new StoreFailure.HistoryGone())));
             } else if (!changed.isEmpty() || loop.nowMillis() >= untilMillis) {
@@ -222,7 +226,7 @@
                                         from.era(), listing.position().era())
                                 .map(checked -> listing)));
             } else {
-                loop.schedule(RESPONSE_DELAY_MILLIS, () -> poll(from, untilMillis, done));
+                loop.schedule(RESPONSE_DELAY_MILLIS, () -> poll(from, sentMillis, untilMillis, done));
             }
         }
 
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/ConfigurationAfterOutageTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/ConfigurationAfterOutageTests.java
@@ -10,7 +10,6 @@
 import org.hyssopswitch.pool.store.TableWatcher;
 import org.hyssopswitch.pool.testing.FakeObjectTable;
 import org.hyssopswitch.pool.testing.ManualLoop;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a configuration that is not in force in time after an outage of the store. */
@@ -25,7 +24,6 @@
     private final List<Long> delaysMillis = new ArrayList<>();
 
     @Test
-    @Tag("known-red")
     void followsAChangeInTimeWheneverAnOutageWithoutAnswersEnds() {
         for (int seed = 0; seed < SEEDS; seed++) {
             delaysMillis.add(delayAfterOutage(seed, 4_000 + seed * PHASE_STEP_MILLIS));
@@ -36,7 +34,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void isCurrentAsSoonAsTheStoreAnswersAgain() {
         ManualLoop loop = new ManualLoop();
         FakeObjectTable<String> table = new FakeObjectTable<>(loop);
