Open new connections to the platform after a call has timed out

Cause: the HTTP client of the JDK keeps idle connections for 20 minutes and closes only the one that timed out.

Why this works: a timeout replaces the client, with all its connections; calls in flight end on the old one.

--- a/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/HttpPlatformClient.java
+++ b/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/HttpPlatformClient.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
@@ -15,7 +16,9 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.hyssopswitch.core.engine.PlatformFailure;
 import org.hyssopswitch.core.engine.PrefixChanges;
 import org.hyssopswitch.core.engine.StoredObject;
@@ -33,7 +36,7 @@
     private static final int MILLIS_PER_SECOND = 1_000;
 
     private final PlatformOptions options;
-    private final HttpClient http;
+    private final AtomicReference<HttpClient> http;
     private final Map<Long, CompletableFuture<?>> pending = new ConcurrentHashMap<>();
     private final AtomicLong calls = new AtomicLong();
     private volatile boolean closed;
@@ -45,10 +48,7 @@
      */
     public HttpPlatformClient(PlatformOptions options) {
         this.options = options;
-        this.http = HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(Duration.ofMillis(options.callTimeoutMillis()))
-                .build();
+        this.http = new AtomicReference<>(createHttpClient());
     }
 
     @Override
@@ -103,6 +103,13 @@
         pending.values().forEach(f -> f.completeExceptionally(new IOException("the client is closed")));
     }
 
+    private HttpClient createHttpClient() {
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(Duration.ofMillis(options.callTimeoutMillis()))
+                .build();
+    }
+
     private HttpRequest.Builder request(String target) {
         String base = options.url().toString();
         String root = base.endsWith("/") ? base.substring(0, base.length() - 1) : base;
@@ -117,8 +124,9 @@
         }
         long timeoutMillis = options.callTimeoutMillis() + waitMillis;
         HttpRequest built = request.timeout(Duration.ofMillis(timeoutMillis)).build();
+        HttpClient client = http.get();
         CompletableFuture<HttpResponse<byte[]>> exchange =
-                http.sendAsync(built, info -> new BoundedBodySubscriber(options.maxAnswerBytes()));
+                client.sendAsync(built, info -> new BoundedBodySubscriber(options.maxAnswerBytes()));
         // The request's own timeout ends with the headers; this one bounds the body as well.
         CompletableFuture<HttpResponse<byte[]>> bounded =
                 exchange.copy().orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -128,12 +136,21 @@
             pending.remove(call);
             if (error != null) {
                 exchange.cancel(true);
+                if (isTimeout(error)) {
+                    // Other open connections may have gone silent as well; a new client opens new ones.
+                    http.compareAndSet(client, createHttpClient());
+                }
                 return noAnswer(path, error);
             }
             return interpret(path, response, reader);
         });
     }
 
+    private static boolean isTimeout(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        return cause instanceof TimeoutException || cause instanceof HttpTimeoutException;
+    }
+
     private static <T> Either<PlatformFailure, T> interpret(
             String path, HttpResponse<byte[]> response, BodyReader<T> reader) {
         try {
