Close connections to endpoints that have gone silent

Cause: nobody waits for the answer to some commands: the VM's own queries of the position, rollbacks, statements whose caller has left. TCP keepalive, which finds idle silent connections within three seconds, does not work while bytes are on the way.

Why this works: a connection is closed if a command without work of its own is unanswered for a second (a statement: 30 s, longer than any route's timeout) although the endpoint has answered on another connection since, and with it those that were idle when that command was sent. After a stall of the VM itself the check waits until the answers are read. A silence of the whole endpoint (a partition, a crash) closes nothing. The decision is SilentConnectionDetector.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -65,6 +65,7 @@
     private final LatencyEstimates estimates = new LatencyEstimates();
     private final ConnectionBudget budget;
     private final PrimarySampler sampler;
+    private final SilentConnectionDetector silentConnections;
     private Endpoint endpoint;
     private long lastProbeMillis;
     private boolean suspect;
@@ -85,6 +86,7 @@
         this.sampler = new PrimarySampler(this);
         this.lastContactMillis = clock.getAsLong();
         this.suspectUntilMillis = lastContactMillis;
+        this.silentConnections = new SilentConnectionDetector(lastContactMillis);
     }
 
     Endpoint endpoint() {
@@ -196,6 +198,7 @@
                 .forEach(request -> request.refused(
                         ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time"));
         checkLastContact(now);
+        discardSilent(now);
         closeExpiredIdle(now);
         if (!reachable) {
             probe(now);
@@ -480,6 +483,19 @@
         }
     }
 
+    private void discardSilent(long now) {
+        List<PooledConnection> silent = silentConnections.check(direct().toList(), lastContactMillis, now);
+        if (!silent.isEmpty()) {
+            LOG.warn(
+                    "event=connections_silent endpoint={} group={} discarded={} kept={}",
+                    endpoint.id(),
+                    endpoint.group(),
+                    silent.size(),
+                    directCount() - silent.size());
+            silent.forEach(PooledConnection::discard);
+        }
+    }
+
     private void closeExpiredIdle(long now) {
         int targetSize = targetSize(now);
         for (PooledConnection connection : direct().toList()) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -225,6 +225,17 @@
         return Option.of(pending.peekFirst()).map(PendingCommand::sentMillis);
     }
 
+    /**
+     * Returns the time at which the oldest unanswered command was sent if its answer is overdue although the endpoint has
+     * answered on other connections since; nothing otherwise.
+     */
+    Option<Long> silentSinceMillis(long lastContactMillis) {
+        return Option.of(pending.peekFirst())
+                .filter(first -> lastContactMillis > first.sentMillis()
+                        && pool.nowMillis() - first.sentMillis() > first.timeoutMillis())
+                .map(PendingCommand::sentMillis);
+    }
+
     void markInUse() {
         state = State.IN_USE;
         stateSinceMillis = pool.nowMillis();
@@ -261,9 +272,19 @@
 
     private record PendingCommand(ReplyHandler handler, long sentMillis, boolean measured) {
 
+        /** Time for the answer to a command that does no work, milliseconds. */
+        private static final long COMMAND_TIMEOUT_MILLIS = 1_000;
+
+        /** Time for the answer to a statement, milliseconds: longer than the timeout of any route. */
+        private static final long STATEMENT_TIMEOUT_MILLIS = 30_000;
+
         PendingCommand {
             Objects.requireNonNull(handler, "a command must have a handler");
         }
+
+        long timeoutMillis() {
+            return measured ? STATEMENT_TIMEOUT_MILLIS : COMMAND_TIMEOUT_MILLIS;
+        }
     }
 
     /** Closes the connection if its session values or prepared statements could not be set, as its state is unknown. */
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -162,6 +162,16 @@
         });
     }
 
+    /** Makes all open connections silent for good, without a reset; new ones work. */
+    public void silenceOpenConnections() {
+        links.forEach(link -> link.silent = true);
+    }
+
+    /** Returns the number of silent connections that the VM has not closed. */
+    public long silentConnections() {
+        return links.stream().filter(link -> link.silent).count();
+    }
+
     /** Opens a connection. */
     public EndpointLink connect(Account account, EndpointLink.Listener listener) {
         connectAttempts++;
@@ -193,6 +203,7 @@
         private final Map<String, String> values = new HashMap<>();
         private TransactionStatus status = TransactionStatus.IDLE;
         private boolean closed;
+        private boolean silent;
         private boolean readWrite;
         private boolean wrote;
         private long freeAtMillis;
@@ -203,7 +214,7 @@
 
         @Override
         public void send(List<EndpointCommand> commands) {
-            if (unresponsive) {
+            if (unresponsive || silent) {
                 return;
             }
             for (EndpointCommand command : commands) {
@@ -223,7 +234,7 @@
         }
 
         private void answer(EndpointCommand command) {
-            if (closed || !links.contains(this) || unresponsive) {
+            if (closed || !links.contains(this) || unresponsive || silent) {
                 return;
             }
             StatementOutcome outcome = run(command);
