Test the product's own way of a configuration against outages that swallow calls

Played with swallowed calls, 25 random outages of 1 to 61 s at 6 and at 48 VMs: in force everywhere within 12 s each time. No code changes.

--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationCluster.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationCluster.java
@@ -30,6 +30,9 @@
     static final long STEP_MILLIS = 50;
     private static final long WATCH_MILLIS = 5_000;
 
+    /** Time that a call may take beyond the wait it asked for, milliseconds. */
+    private static final long CALL_TIMEOUT_MILLIS = 2_000;
+
     private final FakeConfigurationPlatform platform = new FakeConfigurationPlatform();
     private final Map<Integer, Node> nodes = new TreeMap<>();
     private final List<InFlightMessage> messages = new ArrayList<>();
@@ -41,6 +44,7 @@
     private final SplittableRandom random;
     private long nowMillis = 10_000;
     private long incarnations;
+    private boolean swallowing;
     private int dropPercent;
     private long maxDelayMillis;
     private long sentMessages;
@@ -87,6 +91,15 @@
         cutFromPlatform.add(index);
     }
 
+    /** Swallows watches, also those in flight: they end by their timeouts, whenever the swallowing ends. */
+    void setSwallowing(boolean swallow) {
+        swallowing = swallow;
+        if (swallow) {
+            watches.replaceAll(
+                    watch -> new OpenWatch(watch.index, watch.from, watch.call, watch.after, watch.sentMillis, true));
+        }
+    }
+
     void heal() {
         isolated.clear();
         cutFromPlatform.clear();
@@ -155,6 +168,9 @@
     }
 
     private boolean isAnswered(OpenWatch watch) {
+        if (watch.swallowed) {
+            return nowMillis - watch.sentMillis >= WATCH_MILLIS + CALL_TIMEOUT_MILLIS;
+        }
         return !platform.isAvailable()
                 || cutFromPlatform.contains(watch.index)
                 || platform.hasChangesAfter(watch.after)
@@ -166,7 +182,7 @@
         if (node == null || !node.self.equals(watch.from)) {
             return;
         }
-        var result = cutFromPlatform.contains(watch.index)
+        var result = watch.swallowed || cutFromPlatform.contains(watch.index)
                 ? Either.<PlatformFailure, org.hyssopswitch.core.engine.PrefixChanges>left(
                         new PlatformFailure.NoAnswer("config/teams/", "cut off"))
                 : platform.readChanges(watch.after);
@@ -202,7 +218,7 @@
 
     private record PendingAnswer(VmAddress to, Event event) {}
 
-    private record OpenWatch(int index, VmAddress from, long call, long after, long sentMillis) {}
+    private record OpenWatch(int index, VmAddress from, long call, long after, long sentMillis, boolean swallowed) {}
 
     /** A simulated VM. */
     private final class Node {
@@ -237,7 +253,8 @@
                     messages.add(new InFlightMessage(nowMillis + delay, self, send.to(), send.message()));
                 } else if (action instanceof Action.WatchPrefix watch) {
                     platform.recordCall();
-                    watches.add(new OpenWatch(self.port() - 1000, self, watch.call(), watch.afterVersion(), nowMillis));
+                    watches.add(new OpenWatch(
+                            self.port() - 1000, self, watch.call(), watch.afterVersion(), nowMillis, swallowing));
                 } else if (action instanceof Action.ReadObject read) {
                     answers.add(new PendingAnswer(
                             self, new Event.ObjectCallCompleted(read.call(), platform.readReport(read.path()))));
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationSystemTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/configuration/ConfigurationSystemTests.java
@@ -25,6 +25,10 @@
 class ConfigurationSystemTests {
 
     private static final long TARGET_MILLIS = 5_000;
+
+    /** Time in which a change must be in force everywhere, milliseconds. */
+    private static final long IN_FORCE_MILLIS = 12_000;
+
     private static final long AFTER_FAULTS_MILLIS = 30_000;
 
     private static final ConfigurationSettings SMALL_PAGES =
@@ -88,6 +92,20 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {6, 48})
+    void anOutageWithoutAnswersDelaysAChangeByNoMoreThanTheTarget(int size) {
+        SplittableRandom random = new SplittableRandom(size);
+        for (int i = 0; i < 25; i++) {
+            ConfigurationCluster cluster = startConverged(size, ConfigurationSettings.DEFAULT);
+            cluster.setSwallowing(true);
+            cluster.run(1_000 + random.nextLong(60_000));
+            cluster.setSwallowing(false);
+            cluster.platform().write("team0", "after outage " + i);
+            cluster.runUntilConverged(IN_FORCE_MILLIS);
+        }
+    }
+
     @Test
     void theNextVmsTakeOverFromRelaysThatDie() {
         ConfigurationCluster cluster = startConverged(6, ConfigurationSettings.DEFAULT);
