--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/placement/EndpointLoad.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/placement/EndpointLoad.java
@@ -23,9 +23,11 @@
     /** Checks the ranges. */
     public EndpointLoad {
         if (inFlight < 0 || limit < 1 || waiting < 0 || !(queueMillis >= 0) || !(serviceMillis >= 0)) {
-            throw new IllegalArgumentException("counts and times of an endpoint's load must not be negative and its limit"
-                    + " at least 1, but are " + inFlight + ", " + waiting + ", " + queueMillis + ", " + serviceMillis
-                    + " and " + limit);
+            throw new IllegalArgumentException(
+                    "counts and times of an endpoint's load must not be negative and its limit"
+                            + " at least 1, but are " + inFlight + ", " + waiting + ", " + queueMillis + ", "
+                            + serviceMillis
+                            + " and " + limit);
         }
         if (!(failureRatio >= 0 && failureRatio <= 1)) {
             throw new IllegalArgumentException("the failure ratio must be between 0 and 1, but is " + failureRatio);
