Find the other VMs of a fleet that starts again without waiting for the store and for backoff

Cause: after a loss of power each VM reads a list with the others' earlier incarnations, its links to them are refused as other incarnation and dialled again with backoff, and lenders and token holders count as lost although no link to them was open. Change: a VM that is dialled as an earlier incarnation proves its own; the dialler follows at once with the messages that waited. A VM registers with its first list, in place of its earlier entry and before it knows the secret. The time to answer starts again when a link opens.

--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/InboundLink.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/InboundLink.java
@@ -111,6 +111,9 @@
                     LinkMessages.Reason.PROTOCOL_ERROR, new PeerFailure.StrangerRefused("hello is not as expected"));
         }
         VmAddress self = context.self();
+        if (received.to().vm().equals(self.vm()) && received.to().incarnation() < self.incarnation()) {
+            return supersede(received, self);
+        }
         if (!received.to().vm().equals(self.vm()) || received.to().incarnation() != self.incarnation()) {
             return refuse(
                     LinkMessages.Reason.OTHER_INCARNATION,
@@ -123,6 +126,16 @@
         return true;
     }
 
+    /** Tells a VM that dialled an earlier incarnation which one this is, with a proof, and ends the link. */
+    private boolean supersede(LinkMessages.Hello received, VmAddress self) {
+        LinkMessages.Hello toSelf = new LinkMessages.Hello(received.from(), self, received.nonce());
+        byte[] proof = context.authenticator().proof(LinkAuthenticator.Role.ACCEPTOR, toSelf, nonce);
+        context.metrics().refused();
+        context.write(connection, new LinkMessages.Superseded(self.incarnation(), nonce, proof));
+        fail(new PeerFailure.Superseded(self));
+        return false;
+    }
+
     private boolean proved(LinkMessages.Proof received) {
         if (!verify(received)) {
             return refuse(LinkMessages.Reason.WRONG_PROOF, new PeerFailure.StrangerRefused("the proof is wrong"));
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/LinkMessages.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/LinkMessages.java
@@ -26,6 +26,12 @@
     /** The answer to a ping. */
     record Pong() implements PeerMessage {}
 
+    /**
+     * The answer of a VM that was dialled as an earlier incarnation: its own incarnation, its nonce and its proof for a
+     * hello to that incarnation.
+     */
+    record Superseded(long incarnation, byte[] nonce, byte[] proof) implements PeerMessage {}
+
     /** The link is refused. */
     record Refused(Reason reason) implements PeerMessage {}
 
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/MessageRegistry.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/MessageRegistry.java
@@ -56,6 +56,7 @@
             add(5, LinkMessages.Refused.class);
             add(6, LinkMessages.Ping.class);
             add(7, LinkMessages.Pong.class);
+            add(8, LinkMessages.Superseded.class);
         }
 
         /**
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLink.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLink.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.peer;
 
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Queue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -97,6 +98,11 @@
         }
     }
 
+    /** Returns the frames that were not sent because the link did not open. */
+    synchronized List<byte[]> unsentFrames() {
+        return List.copyOf(waiting);
+    }
+
     /** Closes the link without a report. */
     void close() {
         closeOnce();
@@ -141,6 +147,10 @@
             liveness.pingAnswered();
             return true;
         }
+        if (message instanceof LinkMessages.Superseded superseded) {
+            fail(superseded(superseded));
+            return false;
+        }
         if (message instanceof LinkMessages.Refused refused) {
             fail(refusal(refused.reason()));
             return false;
@@ -191,6 +201,19 @@
         return false;
     }
 
+    private PeerFailure superseded(LinkMessages.Superseded answer) {
+        VmAddress newer =
+                new VmAddress(to.vm(), answer.incarnation(), to.dataCentre(), to.cell(), to.host(), to.port());
+        LinkMessages.Hello toNewer = new LinkMessages.Hello(hello.from(), newer, hello.nonce());
+        boolean proved = answer.incarnation() > to.incarnation()
+                && context.authenticator()
+                        .verify(LinkAuthenticator.Role.ACCEPTOR, toNewer, answer.nonce(), answer.proof());
+        return proved
+                ? new PeerFailure.Superseded(newer)
+                : new PeerFailure.OtherIncarnation(
+                        "VM " + to.vm() + " with incarnation " + to.incarnation() + " does not accept this link");
+    }
+
     private PeerFailure refusal(LinkMessages.Reason reason) {
         return switch (reason) {
             case OTHER_INCARNATION ->
@@ -206,7 +229,6 @@
             return false;
         }
         state = State.CLOSED;
-        waiting.clear();
         if (connection != null) {
             connection.closeSilently();
         }
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
@@ -44,10 +44,11 @@
         OutboundLink link;
         synchronized (slots) {
             Slot slot = slotOf(to);
-            if (slot.to.equals(to)) {
+            boolean reachable = slot.to.equals(to) || listener.followsIncarnations();
+            if (reachable) {
                 dialled = dialIfNeeded(slot);
             }
-            link = slot.to.equals(to) ? slot.link : null;
+            link = reachable ? slot.link : null;
         }
         if (link == null) {
             context.metrics().dropped();
@@ -123,6 +124,7 @@
             }
         }
         LOG.info("event=peer_link_open vm={} incarnation={}", slot.to.vm(), slot.to.incarnation());
+        listener.linkOpened(link.to());
         if (replaced != null) {
             replaced.close();
             LOG.warn("event=peer_link_failed vm={} reason=\"it went silent and was replaced\"", slot.to.vm());
@@ -131,6 +133,10 @@
     }
 
     private void failed(Slot slot, OutboundLink link, PeerFailure failure) {
+        if (failure instanceof PeerFailure.Superseded superseded && listener.followsIncarnations()) {
+            follow(superseded.newer(), link);
+            return;
+        }
         boolean spare;
         synchronized (slots) {
             spare = slot.replacement == link;
@@ -144,6 +150,27 @@
         }
     }
 
+    /**
+     * Dials a later incarnation at once and sends it the frames that waited. Without this, a fleet whose VMs all started
+     * again would wait for the store to list the new incarnations, and for the backoff of links to the old ones.
+     */
+    private void follow(VmAddress newer, OutboundLink superseded) {
+        LOG.info("event=peer_incarnation_changed vm={} incarnation={}", newer.vm(), newer.incarnation());
+        OutboundLink dialled;
+        synchronized (slots) {
+            // The frames that wait precede those of a sender that learns the new address.
+            Slot slot = slotOf(newer);
+            dialled = dialIfNeeded(slot);
+            if (slot.link != null) {
+                superseded.unsentFrames().forEach(slot.link::send);
+            }
+        }
+        listener.incarnationChanged(newer);
+        if (dialled != null) {
+            dialler.accept(dialled);
+        }
+    }
+
     /** The link to one VM and the delay of its next dial. */
     private static final class Slot {
 
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/PeerFailure.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/PeerFailure.java
@@ -80,6 +80,18 @@
         }
     }
 
+    /**
+     * The VM at the address has proved that it is a later incarnation of the VM addressed.
+     *
+     * @param newer its address
+     */
+    record Superseded(VmAddress newer) implements PeerFailure {
+        @Override
+        public String describe() {
+            return "VM " + newer.vm() + " has started again with incarnation " + newer.incarnation();
+        }
+    }
+
     /**
      * A link could not be opened.
      *
--- a/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
+++ b/hyssopswitch-peer/src/test/java/org/hyssopswitch/peer/GrizzlyPeerTransportTests.java
@@ -16,8 +16,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hyssopswitch.core.identity.CellId;
 import org.hyssopswitch.core.identity.DataCentreId;
@@ -97,6 +100,44 @@
         assertTrue(second.receivedNothing());
     }
 
+    /** Guards against seconds without links after all VMs of a fleet started again and know only earlier incarnations. */
+    @Test
+    void followsALaterIncarnationWithoutLosingWhatWaited() throws Exception {
+        FollowingListener following = new FollowingListener();
+        GrizzlyPeerTransport a = open("a", 1, SECRET, following);
+        GrizzlyPeerTransport b = open("b", 5, SECRET, second);
+        VmAddress stale = withIncarnation(b.self(), 4);
+        a.send(stale, new SampleMessages.Text("one"));
+        a.send(stale, new SampleMessages.Text("two"));
+        assertEquals(new SampleMessages.Text("one"), second.next().message());
+        assertEquals(new SampleMessages.Text("two"), second.next().message());
+        assertEquals(b.self(), following.changes.poll(20, TimeUnit.SECONDS));
+        a.send(stale, new SampleMessages.Text("three"));
+        assertEquals(new SampleMessages.Text("three"), second.next().message());
+        assertEquals(0, following.failures.get());
+    }
+
+    /** Guards against a process that has taken over an address and claims to be a later incarnation of its VM. */
+    @Test
+    void doesNotFollowAnIncarnationWithoutProof() throws Exception {
+        FollowingListener following = new FollowingListener();
+        GrizzlyPeerTransport a = open("a", 1, SECRET, following);
+        try (ServerSocket impostor = new ServerSocket(0)) {
+            VmAddress to = address("b", 4, impostor.getLocalPort());
+            a.send(to, new SampleMessages.Text("x"));
+            try (Socket socket = impostor.accept()) {
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                in.readNBytes(in.readInt());
+                MessageCodec codec = SampleMessages.codec();
+                socket.getOutputStream()
+                        .write(codec.encode(new LinkMessages.Superseded(9, new byte[32], new byte[32]))
+                                .get());
+                assertEquals(to, following.failed.poll(20, TimeUnit.SECONDS));
+            }
+        }
+        assertTrue(following.changes.isEmpty());
+    }
+
     @Test
     void anOlderIncarnationOfAConnectedSenderIsRefused() throws Exception {
         GrizzlyPeerTransport b = open("b", 1, SECRET, second);
@@ -293,6 +334,33 @@
         public void linkFailed(VmAddress to) {}
     }
 
+    /** Accepts that messages to an earlier incarnation reach a later one. */
+    private static final class FollowingListener implements PeerListener {
+
+        private final BlockingQueue<VmAddress> changes = new LinkedBlockingQueue<>();
+        private final BlockingQueue<VmAddress> failed = new LinkedBlockingQueue<>();
+        private final AtomicInteger failures = new AtomicInteger();
+
+        @Override
+        public void messageReceived(VmAddress from, PeerMessage message) {}
+
+        @Override
+        public boolean followsIncarnations() {
+            return true;
+        }
+
+        @Override
+        public void incarnationChanged(VmAddress newer) {
+            changes.add(newer);
+        }
+
+        @Override
+        public void linkFailed(VmAddress to) {
+            failures.incrementAndGet();
+            failed.add(to);
+        }
+    }
+
     /** A plain socket that speaks frames. */
     private static final class RawLink implements AutoCloseable {
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
@@ -162,6 +162,15 @@
         }
     }
 
+    /**
+     * A link to a VM was opened: what waited for it is sent now, so the lender's time to answer starts again.
+     *
+     * @param vm name of the VM
+     */
+    public void linkOpened(String vm) {
+        unansweredSinceMillis.computeIfPresent(vm, (name, since) -> clock.getAsLong());
+    }
+
     /**
      * The link to a VM failed: messages sent to it may be lost.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -9,8 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.peer.GrizzlyPeerTransport;
@@ -31,8 +29,7 @@
 
     private final DecisionLoop loop;
     private final Random random;
-    private final BiConsumer<String, PeerMessage> receiver;
-    private final Consumer<String> linkFailed;
+    private final PeerLinkListener listener;
     private final VmAddress self;
     private final PeerTransport transport;
     private final Map<String, VmAddress> addresses = new HashMap<>();
@@ -43,19 +40,12 @@
      * @param options identity and address of this VM, and the limits of its links
      * @param loop the decision thread
      * @param random chooses recipients
-     * @param receiver receives messages with the name of the sender, on the decision thread
-     * @param linkFailed receives the name of a VM to which messages may have been lost, on the decision thread
+     * @param listener receives messages and the events of links
      */
-    public DefaultPeerLinks(
-            PeerOptions options,
-            DecisionLoop loop,
-            Random random,
-            BiConsumer<String, PeerMessage> receiver,
-            Consumer<String> linkFailed) {
+    public DefaultPeerLinks(PeerOptions options, DecisionLoop loop, Random random, PeerLinkListener listener) {
         this.loop = loop;
         this.random = random;
-        this.receiver = receiver;
-        this.linkFailed = linkFailed;
+        this.listener = listener;
         GrizzlyPeerTransport bound = new GrizzlyPeerTransport(
                 options, registry(), new InboundListener(), new MetricRegistry(), random, loop::nowMillis);
         this.transport = bound;
@@ -129,17 +119,37 @@
         @Override
         public void messageReceived(VmAddress from, PeerMessage message) {
             loop.execute(() -> {
-                VmAddress known = addresses.get(from.vm().value());
-                if (known == null || known.incarnation() < from.incarnation()) {
-                    addresses.put(from.vm().value(), from);
-                }
-                receiver.accept(from.vm().value(), message);
+                learn(from);
+                listener.received(from.vm().value(), message);
             });
         }
 
+        @Override
+        public void linkOpened(VmAddress to) {
+            loop.execute(() -> listener.linkOpened(to.vm().value()));
+        }
+
+        /** Messages are addressed to VMs by name here, and each exchange tolerates that the receiver has started again. */
+        @Override
+        public boolean followsIncarnations() {
+            return true;
+        }
+
+        @Override
+        public void incarnationChanged(VmAddress newer) {
+            loop.execute(() -> learn(newer));
+        }
+
         @Override
         public void linkFailed(VmAddress to) {
-            loop.execute(() -> linkFailed.accept(to.vm().value()));
+            loop.execute(() -> listener.linkFailed(to.vm().value()));
+        }
+
+        private void learn(VmAddress address) {
+            VmAddress known = addresses.get(address.vm().value());
+            if (known == null || known.incarnation() < address.incarnation()) {
+                addresses.put(address.vm().value(), address);
+            }
         }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -193,6 +193,15 @@
         }
     }
 
+    /**
+     * A link to a VM was opened: messages that waited for it are sent now.
+     *
+     * @param vm name of the VM
+     */
+    public void linkOpened(String vm) {
+        remote.linkOpened(vm);
+    }
+
     /**
      * The link to a VM failed: messages sent to it may be lost.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -100,6 +100,15 @@
         stoppingUntilMillis.put(vm, clock.getAsLong() + unavailableMillis);
     }
 
+    /** Restarts the timeouts of what a VM was asked, because it receives the questions only now. */
+    void linkOpened(String vm) {
+        long now = clock.getAsLong();
+        lastReplyMillis.put(vm, now);
+        pending.values().stream()
+                .filter(operation -> vm.equals(operation.asked))
+                .forEach(operation -> operation.askedMillis = now);
+    }
+
     /** Asks other holders instead of one to which messages may have been lost. */
     void linkFailed(String vm) {
         List.copyOf(pending.entrySet()).stream()
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
@@ -21,10 +20,10 @@
 import org.hyssopswitch.core.identity.DataCentreId;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.identity.VmId;
-import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.peer.PeerOptions;
 import org.hyssopswitch.pool.peer.DefaultPeerLinks;
+import org.hyssopswitch.pool.peer.PeerLinkListener;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.store.Listing;
 import org.hyssopswitch.pool.store.StoreFailure;
@@ -62,37 +61,34 @@
 
     private final VmDependencies dependencies;
     private final DecisionLoop loop;
-    private final BiConsumer<String, PeerMessage> receiver;
+    private final PeerLinkListener listener;
     private final Consumer<PeerLinks> connected;
     private final Consumer<Map<String, String>> changed;
-    private final Consumer<String> linkFailed;
     private Option<DefaultPeerLinks> links = Option.none();
     private List<VersionedObject<VmEntry>> entries = List.of();
     private Map<String, String> dataCentres = Map.of();
     private int listCount;
     private long retainMissingUntilMillis = Long.MIN_VALUE;
     private Option<FleetSecret> ownSecret = Option.none();
+    private boolean registering;
 
     /**
      * Creates the membership of one VM.
      *
      * @param dependencies external dependencies of the VM
-     * @param receiver handles messages from other VMs
+     * @param listener receives messages from other VMs and the events of the links to them
      * @param connected receives the links once messages can be sent
-     * @param linkFailed receives the name of a VM to which messages may have been lost
      * @param changed receives the data centre of all VMs by name, this one included
      */
     FleetMembership(
             VmDependencies dependencies,
-            BiConsumer<String, PeerMessage> receiver,
+            PeerLinkListener listener,
             Consumer<PeerLinks> connected,
-            Consumer<String> linkFailed,
             Consumer<Map<String, String>> changed) {
         this.dependencies = dependencies;
         this.loop = dependencies.loop();
-        this.receiver = receiver;
+        this.listener = listener;
         this.connected = connected;
-        this.linkFailed = linkFailed;
         this.changed = changed;
     }
 
@@ -104,7 +100,7 @@
     /** The store has come back from a copy: writes what it may lack, and keeps the VMs that are missing for a while. */
     void eraAdvanced() {
         retainMissingUntilMillis = loop.nowMillis() + REGISTRATION_GRACE_MILLIS;
-        if (links.isDefined()) {
+        if (registering) {
             loop.schedule(dependencies.random().nextInt(MAX_REGISTRATION_JITTER_MILLIS), this::registerAgain);
         }
     }
@@ -160,12 +156,10 @@
                 self.port(),
                 secret.secret().getBytes(StandardCharsets.UTF_8),
                 PeerOptions.Limits.DEFAULT);
-        DefaultPeerLinks opened =
-                new DefaultPeerLinks(options, loop, new Random(self.incarnation()), receiver, linkFailed);
+        DefaultPeerLinks opened = new DefaultPeerLinks(options, loop, new Random(self.incarnation()), listener);
         links = Option.some(opened);
         opened.update(addresses(entries));
         connected.accept(opened);
-        register(Option.none());
     }
 
     private void register(Option<StorePosition> expected) {
@@ -195,7 +189,8 @@
 
     private void requestList() {
         // The first list must not be stale: a VM that starts must know all VMs that started before it.
-        dependencies.vms().list(!dataCentres.isEmpty(), result -> result.peek(this::applyListing)
+        dependencies.vms().list(!dataCentres.isEmpty(), result -> result.peek(this::registerOnce)
+                .peek(this::applyListing)
                 .peekLeft(failure -> {
                     LOG.warn("event=vm_list_failed cause=\"{}\"", failure.describe());
                     if (dataCentres.isEmpty()) {
@@ -204,6 +199,20 @@
                 }));
     }
 
+    /**
+     * Registers this VM as soon as the first list shows whether an earlier incarnation of it is registered, before it knows
+     * the secret: the VMs of a fleet that starts find each other only after they have registered.
+     */
+    private void registerOnce(Listing<VmEntry> first) {
+        if (!registering) {
+            registering = true;
+            register(Option.ofOptional(first.objects().stream()
+                    .filter(stored -> stored.name().equals(dependencies.name()))
+                    .map(VersionedObject::position)
+                    .findFirst()));
+        }
+    }
+
     private void applyListing(Listing<VmEntry> listing) {
         List<VersionedObject<VmEntry>> known = withRetained(listing.objects().stream()
                 .filter(stored -> stored.value().isDefined())
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -32,6 +32,7 @@
 import org.hyssopswitch.pool.peer.LeadershipPing;
 import org.hyssopswitch.pool.peer.LeadershipPong;
 import org.hyssopswitch.pool.peer.LenderPing;
+import org.hyssopswitch.pool.peer.PeerLinkListener;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryUnreachableReport;
 import org.hyssopswitch.pool.peer.StoreSyncRequest;
@@ -135,8 +136,7 @@
                 loop,
                 dependencies.random(),
                 peers);
-        this.membership = new FleetMembership(
-                dependencies, this::received, this::connected, this::linkFailed, this::fleetChanged);
+        this.membership = new FleetMembership(dependencies, new LinkListener(), this::connected, this::fleetChanged);
         this.sessions = new Sessions(
                 groups,
                 limiter,
@@ -336,11 +336,6 @@
         peers.names().forEach(vm -> peers.send(vm, new VmStopping(unavailableMillis)));
     }
 
-    private void linkFailed(String vm) {
-        borrower.linkFailed(vm);
-        limiter.linkFailed(vm);
-    }
-
     private void connected(PeerLinks links) {
         peers = links;
         limiter.connect(links);
@@ -362,6 +357,26 @@
         reconfigure();
     }
 
+    private final class LinkListener implements PeerLinkListener {
+
+        @Override
+        public void received(String vm, PeerMessage message) {
+            PoolVm.this.received(vm, message);
+        }
+
+        @Override
+        public void linkOpened(String vm) {
+            borrower.linkOpened(vm);
+            limiter.linkOpened(vm);
+        }
+
+        @Override
+        public void linkFailed(String vm) {
+            borrower.linkFailed(vm);
+            limiter.linkFailed(vm);
+        }
+    }
+
     private final class CatalogListener implements TableWatcher.Listener<Catalog> {
 
         @Override
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
@@ -11,11 +11,13 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.failover.LeadershipRecord;
 import org.hyssopswitch.pool.failover.PromotionAuthority;
+import org.hyssopswitch.pool.peer.PeerLinkListener;
 import org.hyssopswitch.pool.store.VersionedObject;
 import org.hyssopswitch.pool.testing.FakeObjectTable;
 import org.hyssopswitch.pool.testing.ManualLoop;
@@ -64,6 +66,16 @@
         assertEquals(Set.of("vm-1"), dataCentres.keySet());
     }
 
+    /** Guards against a fleet that finds itself late after a loss of power, because VMs register after other calls. */
+    @Test
+    void registersBeforeItKnowsTheSecretAndReplacesItsEarlierEntry() throws IOException {
+        vms.put("vm-1", entry("dc-old"));
+        secrets.setUnavailable(true);
+        start();
+        loop.advance(100);
+        assertEquals("dc-0", vms.copy().objects().get("vm-1").value().get().dataCentre());
+    }
+
     private FleetSecret secret() {
         VersionedObject<FleetSecret> stored = secrets.copy().objects().get("secret");
         return stored == null ? null : stored.value().get();
@@ -88,11 +100,23 @@
                 (order, done) -> done.accept(PromotionAuthority.Answer.REJECTED),
                 rows -> Option.none());
         FleetMembership membership = new FleetMembership(
-                dependencies, (vm, message) -> {}, links -> {}, vm -> {}, changed -> dataCentres = changed);
+                dependencies, new IgnoringListener(), links -> {}, changed -> dataCentres = changed);
         eras.addListener((previous, era) -> membership.eraAdvanced());
         membership.start();
     }
 
+    private static final class IgnoringListener implements PeerLinkListener {
+
+        @Override
+        public void received(String vm, PeerMessage message) {}
+
+        @Override
+        public void linkOpened(String vm) {}
+
+        @Override
+        public void linkFailed(String vm) {}
+    }
+
     private static VmEntry entry(String dataCentre) throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new VmEntry(dataCentre, "127.0.0.1", free.getLocalPort(), 1);
