Remove the load of an endpoint, which nothing uses without the parts for heavy load

Cause: the record EndpointLoad and three methods of EndpointPool came first as the interface between parts that are not merged.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -12,7 +12,6 @@
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.hyssopswitch.core.placement.EndpointLoad;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -54,9 +53,6 @@
     /** Fraction of an endpoint's remaining cold time that is charged to a request. */
     private static final double COLD_TIME_WEIGHT = 0.01;
 
-    /** Age after which the load that a lender reported is no longer used, milliseconds. */
-    private static final long REMOTE_LOAD_VALID_MILLIS = 1_000;
-
     private static final Logger LOG = LogManager.getLogger(EndpointPool.class);
 
     private final EndpointConnector connector;
@@ -79,8 +75,6 @@
     private boolean reachable = true;
     private boolean dispatching;
     private Account lastOpenedAccount = Account.ANONYMOUS;
-    private Option<EndpointLoad> remoteLoad = Option.none();
-    private long remoteLoadMillis;
 
     EndpointPool(Endpoint endpoint, PoolLimits limits, GroupContext context, PoolCallbacks callbacks) {
         this.endpoint = endpoint;
@@ -151,27 +145,6 @@
         return opening + queued + busy + service + cold;
     }
 
-    /** Returns the load of the endpoint as this VM measures it. */
-    EndpointLoad load() {
-        int inFlight = (int) direct().filter(c -> !c.idle() && !c.opening()).count();
-        int limit = Math.max(1, directCount());
-        double service = estimates.serviceMillis();
-        return new EndpointLoad(inFlight, limit, waiting.size(), waiting.size() * service / limit, service, 0, false);
-    }
-
-    /** Records the load that the lender of the endpoint reported. */
-    void recordRemoteLoad(EndpointLoad load, long nowMillis) {
-        remoteLoad = Option.some(load);
-        remoteLoadMillis = nowMillis;
-    }
-
-    /** Returns the load that the lender reported, while it is recent, or the load that this VM measures itself. */
-    EndpointLoad knownLoad(long nowMillis) {
-        return remoteLoad
-                .filter(load -> isBorrower() && nowMillis - remoteLoadMillis < REMOTE_LOAD_VALID_MILLIS)
-                .getOrElse(this::load);
-    }
-
     void offer(ConnectionRequest request) {
         waiting.add(request, nowMillis());
         dispatch();
