--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/RemoteAdmissionsTests.java
@@ -0,0 +1,63 @@
+package org.hyssopswitch.pool.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.testing.ManualLoop;
+import org.junit.jupiter.api.Test;
+
+/** Guards against token holders that count as unresponsive in a fleet that starts, before a link to them is open. */
+class RemoteAdmissionsTests {
+
+    private final ManualLoop loop = new ManualLoop();
+    private final List<String> asked = new ArrayList<>();
+    private final RemoteAdmissions admissions = new RemoteAdmissions(new RecordingLinks(), loop::nowMillis);
+
+    @Test
+    void countsTheTimeToAnswerFromTheOpeningOfTheLink() {
+        admissions.admit("account", List.of("vm-1", "vm-2"), 500, new PendingListener());
+        loop.advance(60);
+        admissions.linkOpened("vm-1");
+        loop.advance(60);
+        admissions.tick();
+        assertEquals(List.of("vm-1"), asked);
+        loop.advance(30);
+        admissions.tick();
+        assertEquals(List.of("vm-1", "vm-2"), asked);
+    }
+
+    private final class RecordingLinks implements PeerLinks {
+
+        @Override
+        public void send(String vm, PeerMessage message) {
+            asked.add(vm);
+        }
+
+        @Override
+        public void sendToSubset(PeerMessage message) {}
+
+        @Override
+        public Collection<String> names() {
+            return List.of();
+        }
+    }
+
+    private static final class PendingListener implements AdmissionListener {
+
+        @Override
+        public void admitted() {}
+
+        @Override
+        public void refused(long retryAfterMillis) {}
+
+        @Override
+        public boolean isPending() {
+            return true;
+        }
+    }
+}
