Let a request wait in one queue once, and contain an unexpected exception in its own pool, group or session

Cause: a hedged read that still waits at a second endpoint is submitted again when its first connection is lost. It then stood twice in one queue, or in the queues of two endpoints; when it expired, ConnectionRequestQueue.remove threw a NullPointerException, which ended the tick of all groups, and requests that had left the queue before were never answered. Ruled out: an expiry that runs twice; the queue is changed on the decision thread only. Change: a queue holds each request once by its structure, and WaitingPlaces moves a request to the queue it is added to last. Ticks of VM parts, groups, pools and sessions, and the refusals of one tick, run apart from each other (GuardedTaskUtils, also in the decision loop); a session whose statement fails unexpectedly is closed; waiting operations of AccountTokens leave its queue one by one.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AccountTokens.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AccountTokens.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -100,16 +99,16 @@
             return;
         }
         waiting.removeIf(operation -> !operation.listener().isPending());
-        List<WaitingOperation> admitted = new ArrayList<>();
+        // Each operation leaves the queue just before it is notified, so that a listener that fails costs no other one
+        // its decision.
         while (!waiting.isEmpty() && bucket.tryTake(nowMillis)) {
-            admitted.add(waiting.removeFirst());
+            waiting.removeFirst().listener().admitted();
+        }
+        for (WaitingOperation operation : List.copyOf(waiting)) {
+            if (nowMillis >= operation.deadlineMillis() && waiting.remove(operation)) {
+                operation.listener().refused(bookReturn(nowMillis));
+            }
         }
-        List<WaitingOperation> refused = waiting.stream()
-                .filter(one -> nowMillis >= one.deadlineMillis())
-                .toList();
-        waiting.removeAll(refused);
-        admitted.forEach(operation -> operation.listener().admitted());
-        refused.forEach(operation -> operation.listener().refused(bookReturn(nowMillis)));
     }
 
     /** Refuses all waiting operations, because this VM no longer holds a part. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
@@ -20,6 +19,7 @@
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** The endpoints of one database group as seen by this VM; selects the endpoint for each connection request. */
 public final class DatabaseGroup implements PoolCallbacks {
@@ -64,7 +64,8 @@
     private final Map<String, EndpointPool> pools = new HashMap<>();
     private final SuspensionDetector suspensions;
     private final PositionSamples samples = new PositionSamples();
-    private final Map<ConnectionRequest, Long> waitingForPrimary = new LinkedHashMap<>();
+    private final WaitingPlaces places = new WaitingPlaces();
+    private final ConnectionRequestQueue waitingForPrimary = new ConnectionRequestQueue(places);
     private GroupDeclaration group;
     private int vmCount;
     private int accountCount;
@@ -265,7 +266,7 @@
                     .forEach(pool -> lastPrimaryPosition =
                             lastPrimaryPosition.max(pool.endpoint().position()));
             listedPrimary().forEach(listed -> setPrimary(listed.id(), "listed"));
-            Option.of(pools.get(endpointId)).forEach(pool -> pool.drainWaiting().forEach(this::submit));
+            Option.of(pools.get(endpointId)).forEach(EndpointPool::requeueWaiting);
         }
     }
 
@@ -291,7 +292,10 @@
 
     @Override
     public void requeue(ConnectionRequest request) {
-        submit(request);
+        if (!GuardedTaskUtils.run("requeue", () -> submit(request))) {
+            places.withdraw(request);
+            request.refused(ErrorCode.OVERLOADED, "internal error in group " + name());
+        }
     }
 
     void update(GroupDeclaration declared, SharerCounts sharers, Collection<Endpoint> listed) {
@@ -306,8 +310,8 @@
         listed.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
         byId.values().forEach(endpoint -> {
             PoolLimits limits = limits(endpoint, byId.values());
-            EndpointPool pool =
-                    pools.computeIfAbsent(endpoint.id(), id -> new EndpointPool(endpoint, limits, context, this));
+            EndpointPool pool = pools.computeIfAbsent(
+                    endpoint.id(), id -> new EndpointPool(endpoint, limits, context, this, places));
             pool.update(endpoint, limits);
             if (stopping) {
                 pool.stop();
@@ -327,18 +331,13 @@
             pools.values().forEach(EndpointPool::resetLastContact);
         }
         lastTickMillis = now;
-        List.copyOf(pools.values()).forEach(EndpointPool::tick);
+        GuardedTaskUtils.forEach("pool_tick", pools.values(), EndpointPool::tick);
         if (primaryPool().isDefined()) {
             lastUsablePrimaryMillis = now;
         } else {
             findPrimary(now);
         }
-        for (ConnectionRequest request : List.copyOf(waitingForPrimary.keySet())) {
-            if (now >= waitingForPrimary.get(request)) {
-                waitingForPrimary.remove(request);
-                request.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
-            }
-        }
+        GuardedTaskUtils.forEach("refuse_expired", waitingForPrimary.removeExpired(now), this::refuseWithoutPrimary);
         if (now - lastReportMillis >= REPORT_INTERVAL_MILLIS) {
             lastReportMillis = now;
             pools.values().forEach(EndpointPool::report);
@@ -422,9 +421,8 @@
         if (primaryId.contains(id)) {
             primaryId = Option.none();
         }
-        List<ConnectionRequest> waiting = pool.drainWaiting();
         pool.closeIdle();
-        waiting.forEach(this::submit);
+        pool.requeueWaiting();
     }
 
     /** Returns the entry that claimed last to be the primary, unless the claim is older than one already evaluated. */
@@ -451,15 +449,13 @@
                     cause,
                     term());
             primaryId = Option.some(endpointId);
-            previous.forEach(replaced -> replaced.drainWaiting().forEach(this::submit));
+            previous.forEach(EndpointPool::requeueWaiting);
         }
         resubmitWaiting();
     }
 
     private void resubmitWaiting() {
-        List<ConnectionRequest> requests = List.copyOf(waitingForPrimary.keySet());
-        waitingForPrimary.clear();
-        requests.forEach(this::submit);
+        waitingForPrimary.drain().forEach(this::requeue);
     }
 
     private Option<EndpointPool> primaryPool() {
@@ -495,9 +491,13 @@
         long until =
                 Math.min(lastUsablePrimaryMillis + request.unavailableWaitMillis(), request.assignmentDeadlineMillis());
         if (clock.getAsLong() >= until) {
-            request.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
+            refuseWithoutPrimary(request);
         } else {
-            waitingForPrimary.put(request, until);
+            waitingForPrimary.add(request, until, clock.getAsLong());
         }
     }
+
+    private void refuseWithoutPrimary(ConnectionRequest request) {
+        request.refused(ErrorCode.OVERLOADED, "group " + name() + " has no reachable primary");
+    }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroups.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroups.java
@@ -8,6 +8,7 @@
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** The database groups of the configuration in force. */
 public final class DatabaseGroups {
@@ -74,7 +75,7 @@
 
     /** Refuses expired requests and maintains the connections of all groups; called every few milliseconds. */
     public void tick() {
-        all().forEach(DatabaseGroup::tick);
+        GuardedTaskUtils.forEach("group_tick", groups.values(), DatabaseGroup::tick);
     }
 
     private static List<Endpoint> members(Collection<Endpoint> endpoints, String group) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -18,6 +18,7 @@
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /**
  * The connections of this VM to one endpoint and the requests that wait for them.
@@ -60,7 +61,7 @@
     private final PoolCallbacks callbacks;
     private final LongSupplier clock;
     private final List<PooledConnection> connections = new ArrayList<>();
-    private final ConnectionRequestQueue waiting = new ConnectionRequestQueue();
+    private final ConnectionRequestQueue waiting;
     private final PoolCounters counters = new PoolCounters();
     private final LatencyEstimates estimates = new LatencyEstimates();
     private final ConnectionBudget budget;
@@ -76,8 +77,10 @@
     private boolean dispatching;
     private Account lastOpenedAccount = Account.ANONYMOUS;
 
-    EndpointPool(Endpoint endpoint, PoolLimits limits, GroupContext context, PoolCallbacks callbacks) {
+    EndpointPool(
+            Endpoint endpoint, PoolLimits limits, GroupContext context, PoolCallbacks callbacks, WaitingPlaces places) {
         this.endpoint = endpoint;
+        this.waiting = new ConnectionRequestQueue(places);
         this.budget = new ConnectionBudget(limits);
         this.connector = context.connector();
         this.leases = context.leases();
@@ -146,7 +149,7 @@
     }
 
     void offer(ConnectionRequest request) {
-        waiting.add(request, nowMillis());
+        waiting.add(request, request.assignmentDeadlineMillis(), nowMillis());
         dispatch();
     }
 
@@ -168,9 +171,9 @@
         }
     }
 
-    /** Removes and returns all waiting requests. */
-    List<ConnectionRequest> drainWaiting() {
-        return waiting.drain();
+    /** Submits all waiting requests to the group again. */
+    void requeueWaiting() {
+        waiting.drain().forEach(callbacks::requeue);
     }
 
     /** Logs the use of connections since the last report. */
@@ -194,9 +197,9 @@
 
     void tick() {
         long now = nowMillis();
-        waiting.removeExpired(now)
-                .forEach(request -> request.refused(
-                        ErrorCode.OVERLOADED, "no connection to " + endpoint.id() + " became free in time"));
+        String reason = "no connection to " + endpoint.id() + " became free in time";
+        GuardedTaskUtils.forEach(
+                "refuse_expired", waiting.removeExpired(now), request -> request.refused(ErrorCode.OVERLOADED, reason));
         checkLastContact(now);
         discardSilent(now);
         closeExpiredIdle(now);
@@ -310,7 +313,7 @@
             }
             case SUSPECT -> {
                 suspectUntilMillis = nowMillis() + SUSPECT_MILLIS;
-                drainWaiting().forEach(callbacks::requeue);
+                requeueWaiting();
             }
             case UNREACHABLE -> markUnreachable("lender_does_not_reach_it");
             default -> dispatch();
@@ -360,7 +363,7 @@
     }
 
     private void assign(ConnectionRequest request, PooledConnection connection) {
-        long waitedMillis = waiting.remove(request, nowMillis());
+        long waitedMillis = waiting.remove(request, nowMillis()).getOrElse(0L);
         boolean pinned = request.pinnedTo().isDefined();
         Option<LogPosition> floor = request.primaryOnly() || pinned ? Option.none() : callbacks.readFloor(request);
         if (floor.isEmpty() && !pinned && !callbacks.isPrimary(endpoint.id())) {
@@ -369,7 +372,9 @@
         }
         counters.recordAssigned(waitedMillis);
         connection.markInUse();
-        request.assigned(connection, floor);
+        if (!GuardedTaskUtils.run("assign", () -> request.assigned(connection, floor))) {
+            connection.discard();
+        }
     }
 
     private void openMissing() {
@@ -473,7 +478,7 @@
         }
         if (silentMillis > SUSPECT_MILLIS) {
             suspect = true;
-            drainWaiting().forEach(callbacks::requeue);
+            requeueWaiting();
         }
         if (silentMillis > UNREACHABLE_AFTER_MILLIS) {
             markUnreachable("silent");
@@ -526,7 +531,7 @@
                     nowMillis() - lastContactMillis);
             sampler.notifyUnreachable();
             callbacks.reachabilityChanged(endpoint.id(), false);
-            drainWaiting().forEach(callbacks::requeue);
+            requeueWaiting();
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -20,6 +20,7 @@
 import org.hyssopswitch.pool.statement.Reply;
 import org.hyssopswitch.pool.statement.StatementOutcome;
 import org.hyssopswitch.pool.statement.TransactionStatus;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** The session of one caller; executes its statements one at a time, in order. */
 public final class CallerSession {
@@ -236,7 +237,14 @@
         statementRunning = true;
         requestStartMillis = nowMillis();
         currentRequest = Option.some(next);
-        dispatch(next);
+        runOrClose(() -> dispatch(next));
+    }
+
+    /** Runs a step of a statement; a caller whose statement fails unexpectedly must not wait for its reply for ever. */
+    private void runOrClose(Runnable step) {
+        if (!GuardedTaskUtils.run("statement", step)) {
+            close();
+        }
     }
 
     private void dispatch(Request next) {
@@ -387,7 +395,7 @@
 
         @Override
         public void admitted() {
-            start.accept(authorization);
+            runOrClose(() -> start.accept(authorization));
         }
 
         @Override
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -9,6 +9,7 @@
 import org.hyssopswitch.pool.endpoint.DatabaseGroups;
 import org.hyssopswitch.pool.quota.AccountLimiter;
 import org.hyssopswitch.pool.statement.ErrorCode;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** Registry of the sessions of this VM. */
 public final class Sessions {
@@ -71,7 +72,11 @@
     /** Enforces the time limits of all sessions; called every few milliseconds. */
     public void tick() {
         long now = nowMillis();
-        List.copyOf(openSessions).forEach(session -> session.tick(now));
+        for (CallerSession session : List.copyOf(openSessions)) {
+            if (!GuardedTaskUtils.run("session_tick", () -> session.tick(now))) {
+                session.close();
+            }
+        }
     }
 
     /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -48,6 +48,7 @@
 import org.hyssopswitch.pool.store.Listing;
 import org.hyssopswitch.pool.store.TableWatcher;
 import org.hyssopswitch.proxy.net.DecisionLoop;
+import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** One VM of the pool engine: follows configuration and endpoints in the store and serves sessions. */
 public final class PoolVm {
@@ -96,6 +97,7 @@
     private final StoreSynchronizer synchronizer;
     private final IsolationDetector isolationDetector;
     private final LinkWarmUp warmUp;
+    private final List<Runnable> periodicTasks;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile Set<String> vmNames = Set.of();
     private PeerLinks peers;
@@ -160,6 +162,7 @@
         this.synchronizer = new StoreSynchronizer(dependencies.name(), new LocalStoreView(), peers, loop::nowMillis);
         this.isolationDetector = new IsolationDetector(this::pingOtherDataCentres, loop.nowMillis());
         this.warmUp = new LinkWarmUp(vm -> peers.send(vm, new LenderPing(false)));
+        this.periodicTasks = periodicTasks();
         metrics.gauge("sessions", () -> sessions::size);
         metrics.gauge("configuration_version", () -> () -> catalog.version());
         metrics.gauge("configuration_age_ms", () -> this::configurationAgeMillis);
@@ -228,22 +231,33 @@
 
     private void tick() {
         loop.schedule(TICK_MILLIS, this::tick);
+        GuardedTaskUtils.forEach("vm_tick", periodicTasks, Runnable::run);
+    }
+
+    /** Returns the tasks of a tick, in the order in which they run. */
+    private List<Runnable> periodicTasks() {
+        return List.of(
+                this::removeExpiredEndpoints,
+                limiter::tick,
+                synchronizer::tick,
+                warmUp::tick,
+                borrower::tick,
+                lender::tick,
+                groups::tick,
+                sessions::tick,
+                failover::tick,
+                this::updateIsolation);
+    }
+
+    private void removeExpiredEndpoints() {
         if (directory.removeExpired()) {
             reconfigure();
         }
-        limiter.tick();
-        synchronizer.tick();
-        warmUp.tick();
-        borrower.tick();
-        lender.tick();
-        groups.tick();
-        sessions.tick();
-        failover.tick();
-        updateIsolation(loop.nowMillis());
     }
 
     /** Has callers reconnect to another data centre while this one is cut off from the others. */
-    private void updateIsolation(long now) {
+    private void updateIsolation() {
+        long now = loop.nowMillis();
         isolationDetector.tick(remotePrimariesLost(), now);
         isolated = isolationDetector.isIsolated();
         if (isolationDetector.isolatedMillis(now) > READINESS_PROPAGATION_MILLIS) {
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/DefaultDecisionLoop.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/net/DefaultDecisionLoop.java
@@ -10,6 +10,7 @@
 public final class DefaultDecisionLoop implements DecisionLoop, AutoCloseable {
 
     private static final Logger LOG = LogManager.getLogger(DefaultDecisionLoop.class);
+    private static final String TASK = "decision";
     private static final long STOP_WAIT_MILLIS = 5_000;
 
     private final ScheduledThreadPoolExecutor executor;
@@ -37,12 +38,13 @@
 
     @Override
     public void execute(Runnable task) {
-        executor.execute(() -> run(task));
+        executor.execute(() -> GuardedTaskUtils.run(TASK, task));
     }
 
     @Override
     public Timer schedule(long delayMillis, Runnable task) {
-        Future<?> future = executor.schedule(() -> run(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        Future<?> future = executor.schedule(
+                () -> GuardedTaskUtils.run(TASK, task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
         return () -> future.cancel(false);
     }
 
@@ -57,13 +59,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /** A fault in one task must not end the thread that all others depend on. */
-    private static void run(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            LOG.error("event=task_failed error={}", e.getClass().getSimpleName(), e);
-        }
-    }
 }
