Give back the token of a refused operation of which nothing was sent to an endpoint

Cause: an operation that AccountLimiter admitted and that was then refused as not run ("no reachable primary", "no connection became free") kept the token of its client account, and so did each of its caller's retries; once the primary was back, the account was refused below its limit. A second holder that admitted an operation late kept its token as well. Change: an admitted operation gets an AdmissionPermit. It is lost with the message, and where the receiver is no longer a holder. The token was part of the account's limit before, so no holder can exceed the limit with it. An operation that was sent anywhere keeps its token, whatever the answer.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AdmissionListener.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AdmissionListener.java
@@ -3,8 +3,12 @@
 /** Receives the decision on one operation. */
 public interface AdmissionListener {
 
-    /** The operation may run. */
-    void admitted();
+    /**
+     * The operation may run.
+     *
+     * @param permit the token taken for it, to be given back if nothing of the operation is sent to an endpoint
+     */
+    void admitted(AdmissionPermit permit);
 
     /**
      * The client account exceeds its rate.
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.hyssopswitch.core.admission.AccountTokens;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.admission.TokenHolderUtils;
 import org.hyssopswitch.core.admission.TokenNeed;
 import org.hyssopswitch.core.configuration.Rate;
@@ -157,7 +158,7 @@
         } else if (holders.containsKey(account.name())) {
             remote.admit(account.name(), holders.get(account.name()), maxWaitMillis, listener);
         } else {
-            listener.admitted();
+            listener.admitted(AdmissionPermit.NONE);
         }
     }
 
@@ -241,8 +242,10 @@
         Map<String, AccountTokens> waiting = new HashMap<>();
         transfer.tokens().forEach((name, amount) -> {
             AccountTokens tokens = held.get(name);
-            if (tokens != null) {
-                tokens.deposit(vm, amount, transfer.left().getOrDefault(name, 0.0), now);
+            if (tokens != null && !transfer.left().containsKey(name)) {
+                tokens.giveBack(amount, now);
+            } else if (tokens != null) {
+                tokens.deposit(vm, amount, transfer.left().get(name), now);
                 if (tokens.hasWaiting()) {
                     waiting.put(name, tokens);
                 }
@@ -285,7 +288,8 @@
         }
 
         @Override
-        public void admitted() {
+        public void admitted(AdmissionPermit permit) {
+            // The VM that asked gives the token back by a message if the operation sends nothing.
             peers.send(vm, new AdmissionReply(requestId, AdmissionReply.Outcome.ADMITTED, 0));
         }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -1,21 +1,24 @@
 package org.hyssopswitch.pool.quota;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.pool.peer.AdmissionReply;
 import org.hyssopswitch.pool.peer.AdmissionRequest;
 import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.TokenTransfer;
 
 /**
  * Operations of this VM that wait for the decision of another VM, which holds their client account's tokens.
  *
  * <p>A holder that answers late, because its processor is busy, does not cost the operation its chance: another holder is
- * asked as well, and the first decision counts. A token that the other one took all the same is lost to the account.
+ * asked as well, and the first decision counts. A token that the other one took all the same is given back to it.
  */
 final class RemoteAdmissions {
 
@@ -37,6 +40,9 @@
     /** Times that each holder is asked for one operation, at most; lists of VMs that differ may send it in circles. */
     private static final int MAX_ROUNDS = 2;
 
+    /** Time for which the late answer to a decided operation is recognised, milliseconds. */
+    private static final long LATE_ANSWER_MILLIS = 5_000;
+
     private static final Logger LOG = LogManager.getLogger(RemoteAdmissions.class);
 
     private final LongSupplier clock;
@@ -44,6 +50,8 @@
     private final Map<String, Long> suspectUntilMillis = new HashMap<>();
     private final Map<String, Long> lastReplyMillis = new HashMap<>();
     private final Map<String, Long> stoppingUntilMillis = new HashMap<>();
+    private final Map<Long, DecidedOperation> decided = new LinkedHashMap<>();
+    private final Map<String, Map<String, Double>> givenBack = new HashMap<>();
     private PeerLinks peers;
     private long nextId;
 
@@ -77,17 +85,21 @@
         lastReplyMillis.put(vm, clock.getAsLong());
         PendingOperation operation = pending.get(reply.requestId());
         if (operation == null) {
+            lateReplyReceived(vm, reply);
             return;
         }
         switch (reply.outcome()) {
             case ADMITTED -> {
-                pending.remove(reply.requestId());
+                remove(reply.requestId());
+                AdmissionPermit permit = new RemotePermit(vm, operation.account);
                 if (operation.listener.isPending()) {
-                    operation.listener.admitted();
+                    operation.listener.admitted(permit);
+                } else {
+                    permit.giveBack(clock.getAsLong());
                 }
             }
             case REFUSED -> {
-                pending.remove(reply.requestId());
+                remove(reply.requestId());
                 operation.listener.refused(reply.retryAfterMillis());
             }
             case WAITING -> operation.waiting = true;
@@ -119,15 +131,18 @@
                 });
     }
 
-    /** Asks other holders where one does not answer; called every few milliseconds. */
+    /** Asks other holders where one does not answer, and gives tokens back; called every few milliseconds. */
     void tick() {
         long now = clock.getAsLong();
+        givenBack.forEach((vm, tokens) -> peers.send(vm, new TokenTransfer(Map.copyOf(tokens), Map.of())));
+        givenBack.clear();
+        decided.values().removeIf(operation -> now - operation.decidedMillis() > LATE_ANSWER_MILLIS);
         for (Map.Entry<Long, PendingOperation> entry : List.copyOf(pending.entrySet())) {
             PendingOperation operation = entry.getValue();
             if (!operation.listener.isPending()) {
-                pending.remove(entry.getKey());
+                remove(entry.getKey());
             } else if (now >= operation.startedMillis + operation.maxWaitMillis + DECISION_TIMEOUT_MILLIS) {
-                pending.remove(entry.getKey());
+                remove(entry.getKey());
                 operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
             } else if (!operation.waiting && now - operation.askedMillis >= ANSWER_TIMEOUT_MILLIS) {
                 suspectIfSilent(operation, now);
@@ -136,6 +151,19 @@
         }
     }
 
+    /** Ends the wait of an operation. Where several holders were asked, one that admits it late gets its token back. */
+    private void remove(long id) {
+        PendingOperation operation = pending.remove(id);
+        decided.put(id, new DecidedOperation(operation.account, clock.getAsLong()));
+    }
+
+    private void lateReplyReceived(String vm, AdmissionReply reply) {
+        DecidedOperation operation = decided.get(reply.requestId());
+        if (operation != null && reply.outcome() == AdmissionReply.Outcome.ADMITTED) {
+            new RemotePermit(vm, operation.account()).giveBack(clock.getAsLong());
+        }
+    }
+
     private void suspectIfSilent(PendingOperation operation, long now) {
         long heardMillis = lastReplyMillis.getOrDefault(operation.asked, operation.startedMillis);
         if (now - heardMillis >= SILENCE_MILLIS) {
@@ -157,7 +185,7 @@
         if (operation.attempts < MAX_ROUNDS * operation.holders.size()) {
             ask(id, operation);
         } else {
-            pending.remove(id);
+            remove(id);
             operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
         }
     }
@@ -177,6 +205,29 @@
         peers.send(operation.asked, new AdmissionRequest(id, operation.account, operation.maxWaitMillis));
     }
 
+    /** A token of another VM. It is given back by a message that is sent once; if it is lost, so is the token. */
+    private final class RemotePermit implements AdmissionPermit {
+
+        private final String vm;
+        private final String account;
+        private boolean returned;
+
+        RemotePermit(String vm, String account) {
+            this.vm = vm;
+            this.account = account;
+        }
+
+        @Override
+        public void giveBack(long nowMillis) {
+            if (!returned) {
+                returned = true;
+                givenBack.computeIfAbsent(vm, name -> new HashMap<>()).merge(account, 1.0, Double::sum);
+            }
+        }
+    }
+
+    private record DecidedOperation(String account, long decidedMillis) {}
+
     private static final class PendingOperation {
 
         private final String account;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.session;
 
 import io.vavr.control.Option;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.endpoint.PooledConnection;
 import org.hyssopswitch.pool.endpoint.ReplyHandler;
@@ -29,8 +30,9 @@
     private boolean hedged;
     private boolean done;
 
-    AutocommitStatement(CallerSession session, Authorization authorization, ExecutableStatement statement) {
-        super(session, authorization, statement.write());
+    AutocommitStatement(
+            CallerSession session, Authorization authorization, AdmissionPermit permit, ExecutableStatement statement) {
+        super(session, authorization, permit, statement.write());
         this.statement = statement;
         this.startedMillis = session.nowMillis();
     }
@@ -80,7 +82,7 @@
 
     @Override
     void abandon() {
-        done = true;
+        end();
     }
 
     /** Sends a slow read to another endpoint while the first one may still answer. */
@@ -113,11 +115,18 @@
 
     private void fail(ErrorCode code, String reason) {
         if (!done) {
-            done = true;
+            end();
             session().completeStatement(new StatementOutcome.Failed(code, reason), Option.none());
         }
     }
 
+    private void end() {
+        done = true;
+        if (attempts == 0) {
+            giveBackToken();
+        }
+    }
+
     private void succeed(Reply reply) {
         if (done) {
             return;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerOperation.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerOperation.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Route;
@@ -17,10 +18,12 @@
     private final CallerSession session;
     private final Route route;
     private final Account account;
+    private final AdmissionPermit permit;
     private final boolean primaryOnly;
     private long assignBeforeMillis;
 
-    CallerOperation(CallerSession session, Authorization authorization, boolean primaryOnly) {
+    CallerOperation(CallerSession session, Authorization authorization, AdmissionPermit permit, boolean primaryOnly) {
+        this.permit = permit;
         this.session = session;
         this.route = authorization.route();
         this.account = authorization.account();
@@ -79,6 +82,11 @@
         excludedEndpoints.add(endpointId);
     }
 
+    /** Gives the token of the operation back, of which nothing was sent to an endpoint. */
+    final void giveBackToken() {
+        permit.giveBack(session.nowMillis());
+    }
+
     /** Queues the operation for an endpoint; it is refused if none is assigned within latency objective and timeout. */
     final void submit() {
         long maxWaitMillis = Math.min(route.timeoutMillis(), route.objectiveMillis());
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -8,8 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
@@ -90,7 +91,7 @@
             return;
         }
         open = true;
-        sessions.prefetch(new CallerTransaction(this, authorization.get(), true), false);
+        sessions.prefetch(new CallerTransaction(this, authorization.get(), AdmissionPermit.NONE, true), false);
         link.acceptSession();
     }
 
@@ -302,8 +303,8 @@
             fail(ErrorCode.MALFORMED, "a transaction is open");
             return;
         }
-        admit(authorization -> {
-            transaction = Option.some(new CallerTransaction(this, authorization, begin.readOnly()));
+        admit((authorization, permit) -> {
+            transaction = Option.some(new CallerTransaction(this, authorization, permit, begin.readOnly()));
             sessions.prefetch(transaction.get(), true);
             succeed();
         });
@@ -327,8 +328,8 @@
             }
             return;
         }
-        admit(authorization -> {
-            autocommit = Option.some(new AutocommitStatement(this, authorization, statement));
+        admit((authorization, permit) -> {
+            autocommit = Option.some(new AutocommitStatement(this, authorization, permit, statement));
             autocommit.get().submit();
         });
     }
@@ -347,7 +348,7 @@
     }
 
     /** Checks route, key and rate for a new operation; fails the statement if the operation is refused. */
-    private void admit(Consumer<Authorization> start) {
+    private void admit(BiConsumer<Authorization, AdmissionPermit> start) {
         Either<ErrorCode, Authorization> authorization = authorize();
         if (authorization.isLeft()) {
             fail(
@@ -386,16 +387,16 @@
     private final class RateAdmissionListener implements AdmissionListener {
 
         private final Authorization authorization;
-        private final Consumer<Authorization> start;
+        private final BiConsumer<Authorization, AdmissionPermit> start;
 
-        RateAdmissionListener(Authorization authorization, Consumer<Authorization> start) {
+        RateAdmissionListener(Authorization authorization, BiConsumer<Authorization, AdmissionPermit> start) {
             this.authorization = authorization;
             this.start = start;
         }
 
         @Override
-        public void admitted() {
-            runOrClose(() -> start.accept(authorization));
+        public void admitted(AdmissionPermit permit) {
+            runOrClose(() -> start.accept(authorization, permit));
         }
 
         @Override
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.session;
 
 import io.vavr.control.Option;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.endpoint.PooledConnection;
 import org.hyssopswitch.pool.endpoint.ReplyHandler;
@@ -32,8 +33,8 @@
     private long statementStartMillis;
     private long idleSinceMillis;
 
-    CallerTransaction(CallerSession session, Authorization authorization, boolean readOnly) {
-        super(session, authorization, !readOnly);
+    CallerTransaction(CallerSession session, Authorization authorization, AdmissionPermit permit, boolean readOnly) {
+        super(session, authorization, permit, !readOnly);
         this.idleSinceMillis = session.nowMillis();
     }
 
@@ -123,6 +124,7 @@
     @Override
     void abandon() {
         if (!ended) {
+            giveBackUnusedToken();
             rollback();
         }
     }
@@ -130,6 +132,7 @@
     /** Ends the transaction and fails the current statement. */
     private void fail(ErrorCode code, String reason) {
         boolean commit = committing;
+        giveBackUnusedToken();
         ended = true;
         currentStatement = Option.none();
         connection.forEach(PooledConnection::discard);
@@ -140,6 +143,12 @@
         session().completeStatement(new StatementOutcome.Failed(code, reason), Option.none());
     }
 
+    private void giveBackUnusedToken() {
+        if (attempts == 0) {
+            giveBackToken();
+        }
+    }
+
     private String endpointId() {
         return connection.map(PooledConnection::endpointId).getOrElse("none");
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/AccountLimiterTests.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.admission.TokenHolderUtils;
 import org.hyssopswitch.core.configuration.Rate;
 import org.hyssopswitch.core.message.PeerMessage;
@@ -42,6 +43,7 @@
     private double messageLossRate;
     private Account account = new Account("school", Option.some(new Rate(RATE, BURST)));
     private final Set<Integer> lost = new HashSet<>();
+    private final List<AdmissionPermit> permits = new ArrayList<>();
     private int vms = 6;
     private int admitted;
     private long lastAdmittedMillis;
@@ -202,6 +204,46 @@
         assertEquals(500, admitted + refused);
     }
 
+    @Test
+    void admitsAgainAtOnceWhatWasRefusedBeforeAnythingWasSent() {
+        start();
+        run(vm -> 0.0, 3_000);
+        for (int round = 0; round < 3; round++) {
+            admitBurst(vms);
+            permits.forEach(permit -> permit.giveBack(loop.nowMillis()));
+            permits.clear();
+            loop.advance(500);
+        }
+        assertEquals(3 * (int) BURST, admitted);
+    }
+
+    @Test
+    void enforcesTheRateWhenTokensAreGivenBackTwiceAndTheirHoldersStop() {
+        start();
+        run(vm -> 0.0, 3_000);
+        admitBurst(vms);
+        List<AdmissionPermit> unused = List.copyOf(permits);
+        for (int vm = 0; vm < vms; vm += 2) {
+            fleet.get(vm).stop(String.valueOf(vm));
+        }
+        unused.forEach(permit -> permit.giveBack(loop.nowMillis()));
+        unused.forEach(permit -> permit.giveBack(loop.nowMillis()));
+        loop.advance(100);
+        permits.clear();
+        long startMillis = loop.nowMillis();
+        run(vm -> 8 * RATE / vms, RUN_MILLIS);
+        double seconds = (lastAdmittedMillis - startMillis) / 1_000.0;
+        assertTrue(permits.size() <= RATE * seconds + BURST, permits.size() + " admitted in " + seconds + " s");
+    }
+
+    /** Asks for one burst, spread over all VMs, within a few milliseconds. */
+    private void admitBurst(int askingVms) {
+        for (int i = 0; i < BURST; i++) {
+            admit(i % askingVms);
+        }
+        loop.advance(100);
+    }
+
     private void start() {
         Map<String, String> dataCentres = dataCentres();
         Catalog catalog = catalog();
@@ -243,8 +285,9 @@
         long askedMillis = loop.nowMillis();
         fleet.get(vm).admit(account, 40, new AdmissionListener() {
             @Override
-            public void admitted() {
+            public void admitted(AdmissionPermit permit) {
                 admitted++;
+                permits.add(permit);
                 lastAdmittedMillis = loop.nowMillis();
                 lateDecisions += lastAdmittedMillis - askedMillis > LATE_DECISION_MILLIS ? 1 : 0;
             }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/FleetRateReplayTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/FleetRateReplayTests.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.configuration.Rate;
 import org.hyssopswitch.core.limit.TokenBucket;
 import org.hyssopswitch.pool.catalog.Account;
@@ -128,7 +129,7 @@
         withinRate += within ? 1 : 0;
         fleet.get(vm).admit(account, WAIT_MILLIS, new AdmissionListener() {
             @Override
-            public void admitted() {
+            public void admitted(AdmissionPermit permit) {
                 // Only refusals are counted.
             }
 
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/RemoteAdmissionsTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/RemoteAdmissionsTests.java
@@ -5,17 +5,25 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import org.hyssopswitch.core.admission.AdmissionListener;
+import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.pool.peer.AdmissionReply;
 import org.hyssopswitch.pool.peer.PeerLinks;
+import org.hyssopswitch.pool.peer.TokenTransfer;
 import org.hyssopswitch.pool.testing.ManualLoop;
 import org.junit.jupiter.api.Test;
 
-/** Guards against token holders that count as unresponsive in a fleet that starts, before a link to them is open. */
+/**
+ * Guards against token holders that count as unresponsive in a fleet that starts, before a link to them is open, and against
+ * tokens that a holder has taken and that no operation uses.
+ */
 class RemoteAdmissionsTests {
 
     private final ManualLoop loop = new ManualLoop();
     private final List<String> asked = new ArrayList<>();
+    private PeerMessage lastMessage;
     private final RemoteAdmissions admissions = new RemoteAdmissions(new RecordingLinks(), loop::nowMillis);
 
     @Test
@@ -31,11 +39,24 @@
         assertEquals(List.of("vm-1", "vm-2"), asked);
     }
 
+    @Test
+    void givesBackTheTokenOfAHolderThatAdmitsAfterAnotherOne() {
+        admissions.admit("account", List.of("vm-1", "vm-2"), 500, new PendingListener());
+        loop.advance(80);
+        admissions.tick();
+        admissions.replyReceived("vm-2", new AdmissionReply(0, AdmissionReply.Outcome.ADMITTED, 0));
+        admissions.replyReceived("vm-1", new AdmissionReply(0, AdmissionReply.Outcome.ADMITTED, 0));
+        admissions.tick();
+        assertEquals(List.of("vm-1", "vm-2", "vm-1"), asked);
+        assertEquals(new TokenTransfer(Map.of("account", 1.0), Map.of()), lastMessage);
+    }
+
     private final class RecordingLinks implements PeerLinks {
 
         @Override
         public void send(String vm, PeerMessage message) {
             asked.add(vm);
+            lastMessage = message;
         }
 
         @Override
@@ -50,7 +71,7 @@
     private static final class PendingListener implements AdmissionListener {
 
         @Override
-        public void admitted() {}
+        public void admitted(AdmissionPermit permit) {}
 
         @Override
         public void refused(long retryAfterMillis) {}
