Probe the link to a VM that misses an answer, and replace it when it has gone silent

Cause: a link that goes silent without a reset was noticed by a ping every 1,000 ms and 1,500 ms without its answer, although token requests on it miss their answers after 80 ms and lease requests after 120 ms. The link in the other direction carries the answers and was noticed no sooner. Change: the first missing answer has the link pinged at once (PeerTransport.probe); without a pong after 150 ms a second link is dialled beside it, and replaces it if the pong is still missing 30 ms after the challenge of the new one. 80 + 150 + 30 ms are within the aim of 300 ms. A ping that comes ahead of its period has the receiver probe its own link to the sender, so that the direction of the answers is checked too, without a new message. A VM that is slow or paused answers the ping before it has accepted the second link, which is then dropped. Ruled out: shorter periods for all pings, which cost four times the pings on links that work. In the PostgreSQL engine the pings in both directions hold; nothing there calls probe yet.

--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/GrizzlyPeerTransport.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/GrizzlyPeerTransport.java
@@ -37,6 +37,7 @@
             new ScheduledThreadPoolExecutor(1, GrizzlyPeerTransport::timerThread, new DiscardPolicy());
     private final PeerOptions options;
     private final PeerListener listener;
+    private final LongSupplier nowMillis;
     private final InboundLinks inbound = new InboundLinks();
     private final LinkContext context;
     private final OutboundLinks outbound;
@@ -62,6 +63,7 @@
             LongSupplier nowMillis) {
         this.options = options;
         this.listener = listener;
+        this.nowMillis = nowMillis;
         this.transport = createTransport();
         VmAddress self = options.addressAt(bind());
         this.context = new LinkContext(
@@ -70,7 +72,7 @@
                 new MessageCodec(registry, options.limits().maxFrameBytes()),
                 new LinkAuthenticator(options.fleetSecret()),
                 new PeerMetrics(metrics));
-        this.outbound = new OutboundLinks(context, listener, this::dial, random, nowMillis);
+        this.outbound = new OutboundLinks(context, listener, this::dial, random, nowMillis, this::schedule);
         start();
     }
 
@@ -90,6 +92,11 @@
                 .peekLeft(failure -> reportUnsendable(to, failure));
     }
 
+    @Override
+    public void probe(VmAddress to) {
+        outbound.probe(to.vm());
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -139,7 +146,8 @@
     }
 
     private LinkEnd accept(Connection<?> connection) {
-        InboundLink link = new InboundLink(context, connection, inbound, this::deliver);
+        InboundLink link = new InboundLink(
+                context, connection, inbound, this::deliver, from -> outbound.probe(from.vm()), nowMillis);
         if (inbound.strangerConnected() > options.limits().maxStrangers()) {
             link.fail(new PeerFailure.StrangerRefused("too many connections are in the handshake"));
         } else {
@@ -173,8 +181,11 @@
     }
 
     private void expireLater(Runnable task) {
-        ScheduledFuture<?> unused =
-                timer.schedule(task, options.limits().handshakeTimeoutMillis(), TimeUnit.MILLISECONDS);
+        schedule(task, options.limits().handshakeTimeoutMillis());
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        ScheduledFuture<?> unused = timer.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void reportUnsendable(VmAddress to, PeerFailure failure) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -145,6 +145,7 @@
                 remove(entry.getKey());
                 operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
             } else if (!operation.waiting && now - operation.askedMillis >= ANSWER_TIMEOUT_MILLIS) {
+                peers.probe(operation.asked);
                 suspectIfSilent(operation, now);
                 askNext(entry.getKey(), operation);
             }
