Number the admission requests of a process from a random start

Cause: request identifiers started at 0 in each process (an open point). A late answer to an earlier process of a VM was taken for one to an operation of the next; since tokens are given back, the token of one client account could have become a token of another, beyond its limit. Change: the first identifier is random below 2^48. Measured: RemoteAdmissionsTests (3, one new: the answer to an earlier process is ignored), AccountLimiterTests and TokenReturnTests pass.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -40,6 +41,9 @@
     /** Times that each holder is asked for one operation, at most; lists of VMs that differ may send it in circles. */
     private static final int MAX_ROUNDS = 2;
 
+    /** Bound of the identifier of the first operation of a process. */
+    private static final long MAX_FIRST_ID = 1L << 48;
+
     /** Time for which the late answer to a decided operation is recognised, milliseconds. */
     private static final long LATE_ANSWER_MILLIS = 5_000;
 
@@ -53,7 +57,8 @@
     private final Map<Long, DecidedOperation> decided = new LinkedHashMap<>();
     private final Map<String, Map<String, Double>> givenBack = new HashMap<>();
     private PeerLinks peers;
-    private long nextId;
+    // A late answer to an earlier process of this VM must not be taken for one to an operation of this process.
+    private long nextId = ThreadLocalRandom.current().nextLong(MAX_FIRST_ID);
 
     RemoteAdmissions(PeerLinks peers, LongSupplier clock) {
         this.peers = peers;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/RemoteAdmissionsTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/quota/RemoteAdmissionsTests.java
@@ -10,6 +10,7 @@
 import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.pool.peer.AdmissionReply;
+import org.hyssopswitch.pool.peer.AdmissionRequest;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.TokenTransfer;
 import org.hyssopswitch.pool.testing.ManualLoop;
@@ -44,13 +45,25 @@
         admissions.admit("account", List.of("vm-1", "vm-2"), 500, new PendingListener());
         loop.advance(80);
         admissions.tick();
-        admissions.replyReceived("vm-2", new AdmissionReply(0, AdmissionReply.Outcome.ADMITTED, 0));
-        admissions.replyReceived("vm-1", new AdmissionReply(0, AdmissionReply.Outcome.ADMITTED, 0));
+        long id = ((AdmissionRequest) lastMessage).requestId();
+        admissions.replyReceived("vm-2", new AdmissionReply(id, AdmissionReply.Outcome.ADMITTED, 0));
+        admissions.replyReceived("vm-1", new AdmissionReply(id, AdmissionReply.Outcome.ADMITTED, 0));
         admissions.tick();
         assertEquals(List.of("vm-1", "vm-2", "vm-1"), asked);
         assertEquals(new TokenTransfer(Map.of("account", 1.0), Map.of()), lastMessage);
     }
 
+    @Test
+    void ignoresAnAnswerToAnEarlierProcess() {
+        admissions.admit("account", List.of("vm-1", "vm-2"), 500, new PendingListener());
+        long earlierId = ((AdmissionRequest) lastMessage).requestId();
+        RemoteAdmissions restarted = new RemoteAdmissions(new RecordingLinks(), loop::nowMillis);
+        restarted.admit("other", List.of("vm-1", "vm-2"), 500, new PendingListener());
+        restarted.replyReceived("vm-1", new AdmissionReply(earlierId, AdmissionReply.Outcome.ADMITTED, 0));
+        restarted.tick();
+        assertEquals(List.of("vm-1", "vm-1"), asked, "no token may be given back to another account");
+    }
+
     private final class RecordingLinks implements PeerLinks {
 
         @Override
