Probe links only where VMs do not lend connections to each other

Its small VMs answer late because they are busy, and pings, second links and handshakes add work when there is least room.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionRequestQueue.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionRequestQueue.java
@@ -76,8 +76,8 @@
         return expired;
     }
 
-    /** Removes a request that another queue has taken over. */
-    void dropMoved(ConnectionRequest request) {
+    /** Removes a request whose place has been cleared already. */
+    void drop(ConnectionRequest request) {
         ofPriority(request).remove(request);
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/WaitingPlaces.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/WaitingPlaces.java
@@ -16,7 +16,7 @@
     void enter(ConnectionRequest request, ConnectionRequestQueue queue) {
         ConnectionRequestQueue previous = queues.put(request, queue);
         if (previous != null && previous != queue) {
-            previous.dropMoved(request);
+            previous.drop(request);
         }
     }
 
@@ -24,7 +24,7 @@
     void withdraw(ConnectionRequest request) {
         ConnectionRequestQueue queue = queues.remove(request);
         if (queue != null) {
-            queue.dropMoved(request);
+            queue.drop(request);
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/ConnectionBorrower.java
@@ -228,7 +228,6 @@
         long lastActivityMillis = Math.max(lastContactMillis.getOrDefault(vm, 0L), lastPingMillis.getOrDefault(vm, 0L));
         if (now - lastActivityMillis > PING_AFTER_MILLIS) {
             lastPingMillis.put(vm, now);
-            peers.probe(vm);
             send(vm, new LenderPing(false));
         }
     }
