Contain the refusals of requeued requests and of waiting operations as well

DatabaseGroup.requeue refused outside the guard, so a refusal that fails lost the requests drained behind it; RateAdmissionListener guarded the admission but neither refusal, so AccountTokens.refuseAll lost the decisions behind one that fails. Found by reading the change again. Change: both refusals run guarded, the second by closing its session as for an admission.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -294,7 +294,8 @@
     public void requeue(ConnectionRequest request) {
         if (!GuardedTaskUtils.run("requeue", () -> submit(request))) {
             places.withdraw(request);
-            request.refused(ErrorCode.OVERLOADED, "internal error in group " + name());
+            String reason = "internal error in group " + name();
+            GuardedTaskUtils.run("refuse", () -> request.refused(ErrorCode.OVERLOADED, reason));
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -401,24 +401,24 @@
 
         @Override
         public void refused(long retryAfterMillis) {
-            fail(
-                    ErrorCode.OVERLOADED,
-                    "the client account " + authorization.account().name() + " is beyond its rate; retry_after_ms="
-                            + retryAfterMillis);
+            refuse("the client account " + authorization.account().name() + " is beyond its rate; retry_after_ms="
+                    + retryAfterMillis);
         }
 
         @Override
         public void undecided(long retryAfterMillis) {
-            fail(
-                    ErrorCode.OVERLOADED,
-                    "no VM that holds the tokens of client account "
-                            + authorization.account().name() + " answered; retry_after_ms=" + retryAfterMillis);
+            refuse("no VM that holds the tokens of client account "
+                    + authorization.account().name() + " answered; retry_after_ms=" + retryAfterMillis);
         }
 
         @Override
         public boolean isPending() {
             return !closed;
         }
+
+        private void refuse(String reason) {
+            runOrClose(() -> fail(ErrorCode.OVERLOADED, reason));
+        }
     }
 
     private record Request(String id, CallerStatement statement) {}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/WaitingRequestTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/WaitingRequestTests.java
@@ -82,6 +82,23 @@
         requests.forEach(request -> assertTrue(request.refused));
     }
 
+    @Test
+    void refusesAllRequestsThatLeaveALostEndpointAlthoughOneRefusalFails() {
+        TestPool pool = new TestPool(16, 6);
+        pool.endpoint("e1").setConnectionsExhausted(true);
+        List<RecordingRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            requests.add(new RecordingRequest(1));
+            requests.get(i).deadlineMillis = pool.loop().nowMillis() + 60_000;
+            requests.get(i).failing = i == 1;
+            pool.group().submit(requests.get(i));
+        }
+        pool.advance(100);
+        pool.endpoint("e1").crash();
+        pool.advance(1_000);
+        requests.forEach(request -> assertTrue(request.refused));
+    }
+
     /** A request that records its refusal, and may then fail. */
     private static final class RecordingRequest implements ConnectionRequest {
 
