--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/GrizzlyPeerTransport.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/GrizzlyPeerTransport.java
@@ -37,7 +37,6 @@
             new ScheduledThreadPoolExecutor(1, GrizzlyPeerTransport::timerThread, new DiscardPolicy());
     private final PeerOptions options;
     private final PeerListener listener;
-    private final LongSupplier nowMillis;
     private final InboundLinks inbound = new InboundLinks();
     private final LinkContext context;
     private final OutboundLinks outbound;
@@ -63,7 +62,6 @@
             LongSupplier nowMillis) {
         this.options = options;
         this.listener = listener;
-        this.nowMillis = nowMillis;
         this.transport = createTransport();
         VmAddress self = options.addressAt(bind());
         this.context = new LinkContext(
@@ -72,7 +70,7 @@
                 new MessageCodec(registry, options.limits().maxFrameBytes()),
                 new LinkAuthenticator(options.fleetSecret()),
                 new PeerMetrics(metrics));
-        this.outbound = new OutboundLinks(context, listener, this::dial, random, nowMillis, this::schedule);
+        this.outbound = new OutboundLinks(context, listener, this::dial, random, nowMillis);
         start();
     }
 
@@ -92,11 +90,6 @@
                 .peekLeft(failure -> reportUnsendable(to, failure));
     }
 
-    @Override
-    public void probe(VmAddress to) {
-        outbound.probe(to.vm());
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -146,8 +139,7 @@
     }
 
     private LinkEnd accept(Connection<?> connection) {
-        InboundLink link = new InboundLink(
-                context, connection, inbound, this::deliver, from -> outbound.probe(from.vm()), nowMillis);
+        InboundLink link = new InboundLink(context, connection, inbound, this::deliver);
         if (inbound.strangerConnected() > options.limits().maxStrangers()) {
             link.fail(new PeerFailure.StrangerRefused("too many connections are in the handshake"));
         } else {
@@ -181,11 +173,8 @@
     }
 
     private void expireLater(Runnable task) {
-        schedule(task, options.limits().handshakeTimeoutMillis());
-    }
-
-    private void schedule(Runnable task, long delayMillis) {
-        ScheduledFuture<?> unused = timer.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> unused =
+                timer.schedule(task, options.limits().handshakeTimeoutMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void reportUnsendable(VmAddress to, PeerFailure failure) {
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/InboundLink.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/InboundLink.java
@@ -1,8 +1,6 @@
 package org.hyssopswitch.peer;
 
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.glassfish.grizzly.Connection;
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.message.PeerMessage;
@@ -10,16 +8,10 @@
 /** A link that another VM dialled; messages are taken from it only after its proof. */
 final class InboundLink implements LinkEnd {
 
-    /** Deviation of the times between regular pings, milliseconds. */
-    private static final long PING_JITTER_MILLIS = 100;
-
     private final LinkContext context;
     private final Connection<?> connection;
     private final InboundLinks owner;
     private final BiConsumer<VmAddress, PeerMessage> receiver;
-    private final Consumer<VmAddress> onProbe;
-    private final LongSupplier nowMillis;
-    private long lastPingMillis;
     private LinkMessages.Hello hello;
     private byte[] nonce;
     private State state = State.AWAITING_HELLO;
@@ -28,16 +20,11 @@
             LinkContext context,
             Connection<?> connection,
             InboundLinks owner,
-            BiConsumer<VmAddress, PeerMessage> receiver,
-            Consumer<VmAddress> onProbe,
-            LongSupplier nowMillis) {
+            BiConsumer<VmAddress, PeerMessage> receiver) {
         this.context = context;
         this.connection = connection;
         this.owner = owner;
         this.receiver = receiver;
-        this.onProbe = onProbe;
-        this.nowMillis = nowMillis;
-        this.lastPingMillis = nowMillis.getAsLong();
     }
 
     /** The authenticated VM at the other end. */
@@ -108,7 +95,6 @@
     private boolean deliver(PeerMessage message) {
         if (message instanceof LinkMessages.Ping) {
             context.write(connection, new LinkMessages.Pong());
-            pinged();
             return true;
         }
         if (message.getClass().getEnclosingClass() == LinkMessages.class) {
@@ -119,19 +105,6 @@
         return true;
     }
 
-    /**
-     * Checks this VM's own link to the other one when a ping comes ahead of its period: the other VM misses an answer, which
-     * may have been lost on that link.
-     */
-    private void pinged() {
-        long now = nowMillis.getAsLong();
-        boolean probe = now - lastPingMillis < LinkLiveness.PING_PERIOD_MILLIS - PING_JITTER_MILLIS;
-        lastPingMillis = now;
-        if (probe) {
-            onProbe.accept(from());
-        }
-    }
-
     private boolean greeted(LinkMessages.Hello received) {
         if (!begin(received)) {
             return refuse(
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/LinkLiveness.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/LinkLiveness.java
@@ -6,21 +6,14 @@
  */
 final class LinkLiveness {
 
-    /** Minimum time between two pings of a link that is in use, milliseconds. */
-    static final long PING_PERIOD_MILLIS = 1_000;
+    /** Minimum time between two pings, milliseconds. */
+    private static final long PING_PERIOD_MILLIS = 1_000;
 
-    /** Time without an answer to a ping after which a link of a VM that owes no other answer is silent, milliseconds. */
+    /** Time without an answer to a ping after which the link is silent, milliseconds. */
     private static final long SILENT_AFTER_MILLIS = 1_500;
 
-    /** Minimum time between two pings of a link that is probed, milliseconds. */
-    private static final long PROBE_PERIOD_MILLIS = 250;
-
-    /** Time without an answer to a ping after which a link that is probed is silent, milliseconds. */
-    static final long PROBE_TIMEOUT_MILLIS = 150;
-
     private long lastPingMillis;
     private boolean unanswered;
-    private boolean probed;
 
     LinkLiveness(long nowMillis) {
         this.lastPingMillis = nowMillis;
@@ -28,31 +21,19 @@
 
     /** Returns whether a ping is to be sent now; if so, it counts as sent. */
     synchronized boolean startPing(long nowMillis) {
-        return startPing(PING_PERIOD_MILLIS, nowMillis);
-    }
-
-    /** Returns whether a ping is to be sent now because an answer is missing; if so, it counts as sent. */
-    synchronized boolean startProbe(long nowMillis) {
-        boolean started = startPing(PROBE_PERIOD_MILLIS, nowMillis);
-        probed = unanswered;
-        return started;
+        if (unanswered || nowMillis - lastPingMillis < PING_PERIOD_MILLIS) {
+            return false;
+        }
+        lastPingMillis = nowMillis;
+        unanswered = true;
+        return true;
     }
 
     synchronized void pingAnswered() {
         unanswered = false;
-        probed = false;
     }
 
     synchronized boolean isSilent(long nowMillis) {
-        return unanswered && nowMillis - lastPingMillis >= (probed ? PROBE_TIMEOUT_MILLIS : SILENT_AFTER_MILLIS);
-    }
-
-    private boolean startPing(long periodMillis, long nowMillis) {
-        if (unanswered || nowMillis - lastPingMillis < periodMillis) {
-            return false;
-        }
-        lastPingMillis = nowMillis;
-        unanswered = true;
-        return true;
+        return unanswered && nowMillis - lastPingMillis >= SILENT_AFTER_MILLIS;
     }
 }
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLink.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLink.java
@@ -17,7 +17,6 @@
     private final VmAddress to;
     private final BiConsumer<OutboundLink, PeerFailure> onFailure;
     private final Consumer<OutboundLink> onOpen;
-    private final BiConsumer<OutboundLink, Runnable> onChallenge;
     private final LongSupplier nowMillis;
     private final LinkLiveness liveness;
     private final Queue<byte[]> waiting = new ArrayDeque<>();
@@ -30,14 +29,12 @@
             LinkContext context,
             VmAddress to,
             LongSupplier nowMillis,
-            BiConsumer<OutboundLink, Runnable> onChallenge,
             Consumer<OutboundLink> onOpen,
             BiConsumer<OutboundLink, PeerFailure> onFailure) {
         this.context = context;
         this.to = to;
         this.nowMillis = nowMillis;
         this.liveness = new LinkLiveness(nowMillis.getAsLong());
-        this.onChallenge = onChallenge;
         this.onOpen = onOpen;
         this.onFailure = onFailure;
         this.hello = new LinkMessages.Hello(
@@ -71,13 +68,6 @@
         return liveness.isSilent(nowMillis.getAsLong());
     }
 
-    /** Pings the other VM unless a ping is unanswered or recent. */
-    synchronized void probe() {
-        if (state == State.OPEN && liveness.startProbe(nowMillis.getAsLong()) && connection.canWrite()) {
-            context.write(connection, new LinkMessages.Ping());
-        }
-    }
-
     /** Ends the link unless it has opened by now. */
     void expire() {
         if (!isOpen()) {
@@ -180,8 +170,7 @@
             return false;
         }
         byte[] proof = authenticator.proof(LinkAuthenticator.Role.DIALLER, hello, challenge.nonce());
-        // The other VM drops an earlier link once it has the proof.
-        onChallenge.accept(this, () -> context.write(connection, new LinkMessages.Proof(proof)));
+        context.write(connection, new LinkMessages.Proof(proof));
         return true;
     }
 
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/OutboundLinks.java
@@ -16,12 +16,6 @@
 /** The links that this VM dialled: one for each VM, and while it is silent a second one that may replace it. */
 final class OutboundLinks {
 
-    /**
-     * Time for which the proof of a replacement is held back, milliseconds. A VM that was paused answers the challenge of
-     * the new link and the ping on the old one at the same time; the answer to the ping must be seen first.
-     */
-    private static final long REPLACEMENT_DELAY_MILLIS = 30;
-
     private static final Logger LOG = LogManager.getLogger(OutboundLinks.class);
 
     private final LinkContext context;
@@ -29,7 +23,6 @@
     private final Consumer<OutboundLink> dialler;
     private final RandomGenerator random;
     private final LongSupplier nowMillis;
-    private final LinkTimer timer;
     private final Map<VmId, Slot> slots = new HashMap<>();
 
     OutboundLinks(
@@ -37,9 +30,7 @@
             PeerListener listener,
             Consumer<OutboundLink> dialler,
             RandomGenerator random,
-            LongSupplier nowMillis,
-            LinkTimer timer) {
-        this.timer = timer;
+            LongSupplier nowMillis) {
         this.context = context;
         this.listener = listener;
         this.dialler = dialler;
@@ -85,7 +76,6 @@
                 context,
                 slot.to,
                 nowMillis,
-                (link, sendProof) -> challenged(slot, link, sendProof),
                 link -> opened(slot, link),
                 (link, failure) -> failed(slot, link, failure));
         if (silent) {
@@ -96,59 +86,6 @@
         return dialled;
     }
 
-    /** Checks the link to a VM that owes an answer. */
-    void probe(VmId vm) {
-        OutboundLink probed;
-        synchronized (slots) {
-            Slot slot = slots.get(vm);
-            probed = slot == null ? null : slot.link;
-        }
-        if (probed != null) {
-            probed.probe();
-            timer.schedule(() -> replaceIfSilent(vm), LinkLiveness.PROBE_TIMEOUT_MILLIS);
-        }
-    }
-
-    private void replaceIfSilent(VmId vm) {
-        OutboundLink dialled = null;
-        synchronized (slots) {
-            Slot slot = slots.get(vm);
-            if (slot != null && slot.link != null && slot.link.isSilent()) {
-                dialled = dialIfNeeded(slot);
-            }
-        }
-        if (dialled != null) {
-            dialler.accept(dialled);
-        }
-    }
-
-    private void challenged(Slot slot, OutboundLink link, Runnable sendProof) {
-        boolean replacement;
-        synchronized (slots) {
-            replacement = slot.replacement == link;
-        }
-        if (replacement) {
-            timer.schedule(() -> proveIfStillSilent(slot, link, sendProof), REPLACEMENT_DELAY_MILLIS);
-        } else {
-            sendProof.run();
-        }
-    }
-
-    private void proveIfStillSilent(Slot slot, OutboundLink replacement, Runnable sendProof) {
-        boolean needless;
-        synchronized (slots) {
-            needless = slot.replacement == replacement && slot.link != null && !slot.link.isSilent();
-            if (needless) {
-                slot.replacement = null;
-            }
-        }
-        if (needless) {
-            replacement.close();
-        } else {
-            sendProof.run();
-        }
-    }
-
     void close() {
         List<OutboundLink> open;
         synchronized (slots) {
--- a/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/PeerTransport.java
+++ b/hyssopswitch-peer/src/main/java/org/hyssopswitch/peer/PeerTransport.java
@@ -19,14 +19,6 @@
      */
     void send(VmAddress to, PeerMessage message);
 
-    /**
-     * Checks the link to a VM that has not answered a message in time, and replaces it if it has gone silent while new
-     * connections work. The link of a VM that is slow or paused is kept, and so is that of one that cannot be reached.
-     *
-     * @param to the VM
-     */
-    void probe(VmAddress to);
-
     /** Closes all links. */
     @Override
     void close();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -74,11 +74,6 @@
         Option.of(addresses.get(vm)).forEach(to -> transport.send(to, message));
     }
 
-    @Override
-    public void probe(String vm) {
-        Option.of(addresses.get(vm)).forEach(transport::probe);
-    }
-
     @Override
     public void sendToSubset(PeerMessage message) {
         List<VmAddress> recipients = new ArrayList<>(addresses.values());
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/PeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/PeerLinks.java
@@ -21,13 +21,6 @@
      */
     void sendToSubset(PeerMessage message);
 
-    /**
-     * Has the link to a VM checked that has not answered in time, because it may have gone silent.
-     *
-     * @param vm name of the VM
-     */
-    default void probe(String vm) {}
-
     /** Returns the names of the other VMs. */
     Collection<String> names();
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/AccountLimiter.java
@@ -132,16 +132,6 @@
         remote.vmStopping(vm, unavailableMillis);
     }
 
-    /**
-     * Sets whether the link to a VM that answers late is probed. In a fleet whose VMs are small and lend each other
-     * connections, late answers mostly come from busy VMs, and probes add to their work.
-     *
-     * @param enabled whether links are probed
-     */
-    public void setLinkProbing(boolean enabled) {
-        remote.setLinkProbing(enabled);
-    }
-
     /**
      * Sets the links over which tokens are exchanged.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -57,7 +57,6 @@
     private final Map<Long, DecidedOperation> decided = new LinkedHashMap<>();
     private final Map<String, Map<String, Double>> givenBack = new HashMap<>();
     private PeerLinks peers;
-    private boolean linkProbing;
     // A late answer to an earlier process of this VM must not be taken for one to an operation of this process.
     private long nextId = ThreadLocalRandom.current().nextLong(MAX_FIRST_ID);
 
@@ -70,11 +69,6 @@
         peers = links;
     }
 
-    /** Sets whether the link to a holder that answers late is probed. */
-    void setLinkProbing(boolean enabled) {
-        linkProbing = enabled;
-    }
-
     /**
      * Asks the first holder that is not suspected to be lost.
      *
@@ -156,9 +150,6 @@
                 remove(entry.getKey());
                 operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
             } else if (!operation.waiting && now - operation.askedMillis >= ANSWER_TIMEOUT_MILLIS) {
-                if (linkProbing) {
-                    peers.probe(operation.asked);
-                }
                 suspectIfSilent(operation, now);
                 askNext(entry.getKey(), operation);
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -291,7 +291,6 @@
             return;
         }
         groups.update(catalog, directory.endpoints(), vmNames.size());
-        limiter.setLinkProbing(!groups.scarce());
         limiter.update(catalog, dependencies.name(), dataCentres);
         sessions.configure(catalog);
         if (linksOpen && groups.scarce()) {
