Remember only admissions that can still be answered late, and give tokens back through one class

Cause: every operation that another VM admitted was remembered for 5 s and looked at in each tick, although only one whose holders have not all answered can be admitted twice; the flag that gives a token back once stood in two classes. Change: an operation that its only holder decided on is not remembered; SingleUsePermit serves AccountTokens and RemoteAdmissions. No behaviour changes, and no test.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AccountTokens.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/admission/AccountTokens.java
@@ -77,7 +77,7 @@
      */
     public boolean admit(long maxWaitMillis, AdmissionListener listener, long nowMillis) {
         if (waiting.isEmpty() && bucket.tryTake(nowMillis)) {
-            listener.admitted(new TokenPermit());
+            listener.admitted(newPermit());
             return false;
         }
         double admissible = fleetRate * maxWaitMillis / MILLIS_PER_SECOND;
@@ -102,7 +102,7 @@
         // Each operation leaves the queue just before it is notified, so that a listener that fails costs no other one
         // its decision.
         while (!waiting.isEmpty() && bucket.tryTake(nowMillis)) {
-            waiting.removeFirst().listener().admitted(new TokenPermit());
+            waiting.removeFirst().listener().admitted(newPermit());
         }
         for (WaitingOperation operation : List.copyOf(waiting)) {
             if (nowMillis >= operation.deadlineMillis() && waiting.remove(operation)) {
@@ -218,24 +218,14 @@
         bucket.deposit(tokens, nowMillis);
     }
 
+    private AdmissionPermit newPermit() {
+        return new SingleUsePermit(nowMillis -> giveBack(1, nowMillis));
+    }
+
     private long bookReturn(long nowMillis) {
         return returns.book(
                 bucket.ratePerSecond(), bucket.millisUntilToken(nowMillis, MAX_RETRY_AFTER_MILLIS), nowMillis);
     }
 
-    /** A token of this part. */
-    private final class TokenPermit implements AdmissionPermit {
-
-        private boolean givenBack;
-
-        @Override
-        public void giveBack(long nowMillis) {
-            if (!givenBack) {
-                givenBack = true;
-                AccountTokens.this.giveBack(1, nowMillis);
-            }
-        }
-    }
-
     private record WaitingOperation(AdmissionListener listener, long deadlineMillis) {}
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/quota/RemoteAdmissions.java
@@ -9,7 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.admission.AdmissionListener;
-import org.hyssopswitch.core.admission.AdmissionPermit;
+import org.hyssopswitch.core.admission.SingleUsePermit;
 import org.hyssopswitch.pool.peer.AdmissionReply;
 import org.hyssopswitch.pool.peer.AdmissionRequest;
 import org.hyssopswitch.pool.peer.PeerLinks;
@@ -95,16 +95,15 @@
         }
         switch (reply.outcome()) {
             case ADMITTED -> {
-                remove(reply.requestId());
-                AdmissionPermit permit = new RemotePermit(vm, operation.account);
+                removeAnswered(reply.requestId(), operation);
                 if (operation.listener.isPending()) {
-                    operation.listener.admitted(permit);
+                    operation.listener.admitted(new SingleUsePermit(now -> giveBack(vm, operation.account)));
                 } else {
-                    permit.giveBack(clock.getAsLong());
+                    giveBack(vm, operation.account);
                 }
             }
             case REFUSED -> {
-                remove(reply.requestId());
+                removeAnswered(reply.requestId(), operation);
                 operation.listener.refused(reply.retryAfterMillis());
             }
             case WAITING -> operation.waiting = true;
@@ -145,9 +144,9 @@
         for (Map.Entry<Long, PendingOperation> entry : List.copyOf(pending.entrySet())) {
             PendingOperation operation = entry.getValue();
             if (!operation.listener.isPending()) {
-                remove(entry.getKey());
+                remove(entry.getKey(), operation);
             } else if (now >= operation.startedMillis + operation.maxWaitMillis + DECISION_TIMEOUT_MILLIS) {
-                remove(entry.getKey());
+                remove(entry.getKey(), operation);
                 operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
             } else if (!operation.waiting && now - operation.askedMillis >= ANSWER_TIMEOUT_MILLIS) {
                 suspectIfSilent(operation, now);
@@ -156,16 +155,30 @@
         }
     }
 
-    /** Ends the wait of an operation. Where several holders were asked, one that admits it late gets its token back. */
-    private void remove(long id) {
-        PendingOperation operation = pending.remove(id);
+    /** Ends the wait of an operation that a holder decided on; if it was asked alone, no further answer can come. */
+    private void removeAnswered(long id, PendingOperation operation) {
+        if (operation.attempts == 0) {
+            pending.remove(id);
+        } else {
+            remove(id, operation);
+        }
+    }
+
+    /** Ends the wait of an operation; a holder that admits it late gets its token back. */
+    private void remove(long id, PendingOperation operation) {
+        pending.remove(id);
         decided.put(id, new DecidedOperation(operation.account, clock.getAsLong()));
     }
 
+    /** Gives a token back by a message that is sent once; if it is lost, so is the token. */
+    private void giveBack(String vm, String account) {
+        givenBack.computeIfAbsent(vm, name -> new HashMap<>()).merge(account, 1.0, Double::sum);
+    }
+
     private void lateReplyReceived(String vm, AdmissionReply reply) {
         DecidedOperation operation = decided.get(reply.requestId());
         if (operation != null && reply.outcome() == AdmissionReply.Outcome.ADMITTED) {
-            new RemotePermit(vm, operation.account()).giveBack(clock.getAsLong());
+            giveBack(vm, operation.account());
         }
     }
 
@@ -190,7 +203,7 @@
         if (operation.attempts < MAX_ROUNDS * operation.holders.size()) {
             ask(id, operation);
         } else {
-            remove(id);
+            remove(id, operation);
             operation.listener.undecided(UNDECIDED_RETRY_AFTER_MILLIS);
         }
     }
@@ -210,27 +223,6 @@
         peers.send(operation.asked, new AdmissionRequest(id, operation.account, operation.maxWaitMillis));
     }
 
-    /** A token of another VM. It is given back by a message that is sent once; if it is lost, so is the token. */
-    private final class RemotePermit implements AdmissionPermit {
-
-        private final String vm;
-        private final String account;
-        private boolean returned;
-
-        RemotePermit(String vm, String account) {
-            this.vm = vm;
-            this.account = account;
-        }
-
-        @Override
-        public void giveBack(long nowMillis) {
-            if (!returned) {
-                returned = true;
-                givenBack.computeIfAbsent(vm, name -> new HashMap<>()).merge(account, 1.0, Double::sum);
-            }
-        }
-    }
-
     private record DecidedOperation(String account, long decidedMillis) {}
 
     private static final class PendingOperation {
