--- a/review/standin/DbGroup.java
+++ b/review/standin/DbGroup.java
@@ -319,7 +319,11 @@
             }
 
             void run() throws IOException, InterruptedException {
-                String[] start = in.readLine().split(" ");
+                String first = in.readLine();
+                if (first == null) {
+                    return;
+                }
+                String[] start = first.split(" ");
                 if (!start[0].equals("START") || !start[1].equals(name) || (start.length > 3 && !start[3].equals(id))) {
                     send("ERR MISROUTED " + id + "\r\n");
                     return;
