--- a/review/standin/CutOffAtStop.java
+++ b/review/standin/CutOffAtStop.java
@@ -12,7 +12,8 @@
 final class CutOffAtStop {
 
     private static final String DATABASE = "huvo11a";
-    private static final int SESSIONS = 60;
+    private static final int SESSIONS = 40;
+    private static final int READS_PER_TRANSACTION = 6;
     private static final long WORK_MILLIS = 30;
     private static final long TIMEOUT_MILLIS = 2_000;
 
@@ -90,15 +91,22 @@
         while (true) {
             try (Caller caller = new Caller(vm.front, DATABASE, "key-escola")) {
                 String end = "";
-                while (!end.equals("CLOSED")) {
+                for (int i = 0; !end.equals("CLOSED"); i++) {
+                    int step = i % (READS_PER_TRANSACTION + 2);
+                    String text = step == 0 ? "BEGIN READ" : step <= READS_PER_TRANSACTION ? "READ 1a4" : "COMMIT";
                     String id = Caller.newId();
                     long sent = deployment.record.millis();
-                    deployment.record.add("client sends %s to %s: READ 1a4", id, vm.name);
-                    Caller.Answer answer = caller.query(id, "READ 1a4", 10_000);
+                    deployment.record.add("client sends %s to %s: %s", id, vm.name, text);
+                    Caller.Answer answer = caller.query(id, text, 10_000);
                     end = answer.end();
                     deployment.record.add("client is answered %s %s %s", id, end, answer.rest());
                     log.add(new Sent(vm, sent, deployment.record.millis(), id, end));
-                    Threads.sleep(answer.succeeded() ? CLIENT_PAUSE_MILLIS : 20);
+                    if (end.equals("ERR") && step > 0 && step <= READS_PER_TRANSACTION) {
+                        // The transaction has failed; it is ended, and the operation is repeated.
+                        end = caller.query("ROLLBACK", 10_000).end();
+                        i = -1;
+                    }
+                    Threads.sleep(CLIENT_PAUSE_MILLIS);
                 }
             } catch (IOException e) {
                 Threads.sleep(100);
--- a/review/standin/FloodedMachine.java
+++ b/review/standin/FloodedMachine.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** One client floods a machine with requests for some seconds, while other clients use it. */
+/** A few clients flood a machine with requests for some seconds, while other clients use it. */
 final class FloodedMachine {
 
     private static final String DATABASE = "lepu270";
     private static final int CLIENTS = 12;
-    private static final int RUDE_CLIENTS = 1;
+    private static final int RUDE_CLIENTS = 4;
     private static final int BATCH = 100;
     private static final long RUDE_MILLIS = 10_000;
 
@@ -52,7 +52,7 @@
         long start = record.millis();
         AtomicLong sent = new AtomicLong();
         for (int i = 0; deployment.trouble && i < RUDE_CLIENTS; i++) {
-            Threads.start(() -> sendOnly(record, hit, start + RUDE_MILLIS, sent));
+            Threads.start(() -> flood(record, hit, start + RUDE_MILLIS, sent));
         }
         long end = start + RUDE_MILLIS;
         while (record.millis() < end + 35_000) {
@@ -74,7 +74,15 @@
         return within.stream().filter(Sent::served).count() / (double) Math.max(1, within.size());
     }
 
-    private static void sendOnly(Record record, Vm vm, long until, AtomicLong sent) {
+    /** Sends requests until the end of the flood; a session that is ended before is opened again. */
+    private static void flood(Record record, Vm vm, long until, AtomicLong sent) {
+        while (record.millis() < until) {
+            sendRequests(record, vm, until, sent);
+            Threads.sleep(100);
+        }
+    }
+
+    private static void sendRequests(Record record, Vm vm, long until, AtomicLong sent) {
         try (Socket socket = new Socket()) {
             Threads.start(() -> closeAt(record, socket, until));
             socket.connect(new InetSocketAddress("127.0.0.1", vm.front));
