Promote only a server that lacks no acknowledged commit of a group with synchronous replicas

Cause: the leader compared the number of answers with the replicas listed at that moment. A commit stays acknowledged when the replica that received it leaves, but the leader then no longer counted that replica, so the only one listed was enough. Draining replicas were neither asked nor promoted.

Change: CommitHolders (core, pure) is the set of servers that may hold acknowledged commits, listed or not, and the position that a new primary must have received. The leader keeps it in the store, asks all of the set, unlisted servers at their last address, and promotes a server only if those that may be ahead of it are too few for a commit. A server leaves the set when its successor has its log, or when it has ended and enough others have the primary's log. Groups without synchronous replicas are promoted as before and cost no call.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -207,6 +207,17 @@
         sendControl(endpointId, new EndpointCommand.QueryStatus(), maxWaitMillis, callback);
     }
 
+    /**
+     * Queries the replication status of a process of the group that may no longer be listed.
+     *
+     * @param process the process, with its last known address
+     * @param callback receives one result
+     * @return the running query
+     */
+    public EndpointProbe probe(Endpoint process, Consumer<ProbeResult> callback) {
+        return EndpointProbe.start(process, context, callback);
+    }
+
     /**
      * Demotes a primary to a replica.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointLink.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointLink.java
@@ -47,6 +47,11 @@
         /** The connection could not be opened or was closed by the other side. */
         void closed();
 
+        /** The connection was refused because no process listens at the address. */
+        default void notListening() {
+            closed();
+        }
+
         /**
          * The lender refused or ended the lease of a borrowed connection.
          *
--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSurvey.java
@@ -0,0 +1,122 @@
+package org.hyssopswitch.pool.failover;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hyssopswitch.core.failover.CommitHolder;
+import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.store.StorePosition;
+import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.endpoint.DatabaseGroup;
+import org.hyssopswitch.pool.endpoint.EndpointProbe;
+import org.hyssopswitch.pool.endpoint.ProbeResult;
+import org.hyssopswitch.pool.endpoint.ReplicationStatus;
+import org.hyssopswitch.proxy.net.DecisionLoop;
+
+/** Queries servers for the log they have received, those that are no longer listed at their last known address. */
+final class CommitHolderSurvey {
+
+    /** Time after which an answer is no longer awaited, milliseconds. */
+    private static final long TIMEOUT_MILLIS = 250;
+
+    private final DatabaseGroup group;
+    private final Consumer<Result> done;
+    private final List<EndpointProbe> probes = new ArrayList<>();
+    private final Map<CommitHolder, LogPosition> received = new HashMap<>();
+    private final Set<CommitHolder> ended = new HashSet<>();
+    private int unanswered;
+    private boolean completed;
+
+    private CommitHolderSurvey(DatabaseGroup group, int holders, Consumer<Result> done) {
+        this.group = group;
+        this.unanswered = holders;
+        this.done = done;
+    }
+
+    /** Starts a survey; {@code done} receives one result, on the decision thread. */
+    static void start(DatabaseGroup group, Collection<CommitHolder> holders, DecisionLoop loop, Consumer<Result> done) {
+        CommitHolderSurvey survey = new CommitHolderSurvey(group, holders.size(), done);
+        loop.schedule(TIMEOUT_MILLIS, survey::complete);
+        holders.forEach(survey::query);
+    }
+
+    /** Returns the holder that a listed endpoint is. */
+    static CommitHolder holderOf(Endpoint endpoint) {
+        return new CommitHolder(
+                endpoint.id(), endpoint.bornMillis(), endpoint.host(), endpoint.port(), endpoint.draining());
+    }
+
+    /** Returns the listed servers of a group. */
+    static List<CommitHolder> listed(DatabaseGroup group) {
+        return group.endpoints().stream().map(CommitHolderSurvey::holderOf).toList();
+    }
+
+    private void query(CommitHolder holder) {
+        List<CommitHolder> listed = listed(group);
+        if (listed.stream().anyMatch(one -> one.replaces(holder))) {
+            answered(holder, new ProbeResult(Option.none(), true));
+        } else if (listed.contains(holder) && group.isReachable(holder.endpoint())) {
+            group.queryStatus(
+                    holder.endpoint(), TIMEOUT_MILLIS, status -> answered(holder, new ProbeResult(status, false)));
+        } else {
+            probes.add(group.probe(addressOf(holder), result -> answered(holder, result)));
+        }
+    }
+
+    private void answered(CommitHolder holder, ProbeResult result) {
+        if (completed) {
+            return;
+        }
+        result.status().map(ReplicationStatus::received).forEach(position -> received.put(holder, position));
+        if (result.ended()) {
+            ended.add(holder);
+        }
+        unanswered--;
+        if (unanswered == 0) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        if (!completed) {
+            completed = true;
+            probes.forEach(EndpointProbe::cancel);
+            done.accept(new Result(received, ended));
+        }
+    }
+
+    private Endpoint addressOf(CommitHolder holder) {
+        return new Endpoint(
+                holder.endpoint(),
+                group.name(),
+                holder.host(),
+                holder.port(),
+                "",
+                holder.draining(),
+                false,
+                holder.bornMillis(),
+                0,
+                StorePosition.NONE);
+    }
+
+    /**
+     * Result of a survey.
+     *
+     * @param received log positions of the processes that answered
+     * @param ended processes that no longer run
+     */
+    record Result(Map<CommitHolder, LogPosition> received, Set<CommitHolder> ended) {
+
+        /** Copies the collections. */
+        Result {
+            received = Map.copyOf(received);
+            ended = Set.copyOf(ended);
+        }
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -43,6 +44,7 @@
     private final PromotionAuthority authority;
     private final DecisionLoop loop;
     private final PromotionLeaderElection election;
+    private final CommitHolderTracker commitHolders;
     private final UnreachabilityReports reports = new UnreachabilityReports();
     private final Map<String, Long> unusableSinceMillis = new HashMap<>();
     private final Map<String, ReplicaPromotion> promotions = new HashMap<>();
@@ -57,6 +59,7 @@
      * @param groups the database groups
      * @param authority orders promotions
      * @param table holds the leadership record
+     * @param holders servers that may hold acknowledged commits, by group
      * @param eras eras of the store
      * @param loop the decision thread
      * @param random source of jitter
@@ -67,6 +70,7 @@
             DatabaseGroups groups,
             PromotionAuthority authority,
             ObjectTable<LeadershipRecord> table,
+            ObjectTable<CommitHolders> holders,
             StoreEraTracker eras,
             DecisionLoop loop,
             RandomGenerator random,
@@ -76,6 +80,7 @@
         this.authority = authority;
         this.loop = loop;
         this.election = new PromotionLeaderElection(self, table, eras, loop, random, peers);
+        this.commitHolders = new CommitHolderTracker(holders, loop);
         this.peers = peers;
         this.lastReportMillis = loop.nowMillis();
     }
@@ -111,6 +116,7 @@
     /** The store has come back from a copy, and the leadership must be taken again. */
     public void eraAdvanced() {
         election.eraAdvanced();
+        commitHolders.reset();
     }
 
     /** Checks whether groups need a promotion; called every few milliseconds. */
@@ -130,9 +136,13 @@
                 sendReport(group);
             }
             if (election.isLeader()) {
+                trackCommitHolders(group);
                 promoteIfNeeded(group, confirmed, now);
             }
         }
+        if (!election.isLeader()) {
+            commitHolders.reset();
+        }
         if (reportDue) {
             lastReportMillis = now;
         }
@@ -157,7 +167,9 @@
 
     private void promoteIfNeeded(DatabaseGroup group, boolean unusableHere, long now) {
         ReplicaPromotion current = promotions.get(group.name());
-        if (current != null && !current.isSettled(now)) {
+        boolean holdersUnread =
+                isSynchronous(group) && commitHolders.find(group).isEmpty();
+        if (holdersUnread || (current != null && !current.isSettled(now))) {
             return;
         }
         promotions.remove(group.name());
@@ -167,12 +179,28 @@
         boolean draining = primary.exists(Endpoint::draining);
         boolean missing = unusableHere && primary.isEmpty();
         if (draining || missing || cutOff >= Math.min(vmCount, Math.max(2, vmCount * CUT_OFF_FRACTION))) {
-            ReplicaPromotion started = new ReplicaPromotion(self, group, authority, election, loop);
+            ReplicaPromotion started = new ReplicaPromotion(self, group, selector(group), authority, election, loop);
             promotions.put(group.name(), started);
             started.start(primary, draining && group.isReachable(id), cutOff);
         }
     }
 
+    private void trackCommitHolders(DatabaseGroup group) {
+        if (isSynchronous(group)) {
+            commitHolders.track(group);
+        }
+    }
+
+    private PromotionTargetSelector selector(DatabaseGroup group) {
+        return isSynchronous(group)
+                ? new CommitHolderSelector(group, commitHolders, loop)
+                : new MostAdvancedReplicaSelector(group, loop);
+    }
+
+    private static boolean isSynchronous(DatabaseGroup group) {
+        return group.declaration().syncReplicas() > 0;
+    }
+
     private static boolean primaryUnusable(DatabaseGroup group) {
         return !group.endpoints().isEmpty() && !group.primary().exists(primary -> group.isReachable(primary.id()));
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
@@ -1,27 +1,20 @@
 package org.hyssopswitch.pool.failover;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
-import org.hyssopswitch.pool.endpoint.ReplicationStatus;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
-/** One promotion: finds the most advanced replica, orders its promotion and waits until it is the primary. */
+/** One promotion: has a replica selected, orders its promotion and waits until it is the primary. */
 final class ReplicaPromotion {
 
-    /** Timeout of status queries and of the request to step down, milliseconds. */
-    private static final long STATUS_TIMEOUT_MILLIS = 250;
+    /** Timeout of the request to step down, milliseconds. */
+    private static final long STEP_DOWN_TIMEOUT_MILLIS = 250;
 
-    /** Delay before replicas are queried again when too few of them answered, milliseconds. */
-    private static final long STATUS_RETRY_DELAY_MILLIS = 300;
+    /** Delay before a target is selected again when there was none, milliseconds. */
+    private static final long SELECTION_RETRY_DELAY_MILLIS = 300;
 
     /** Delay before an unanswered order is repeated or a failed promotion is started again, milliseconds. */
     private static final long ORDER_RETRY_DELAY_MILLIS = 250;
@@ -36,13 +29,12 @@
 
     private final String self;
     private final DatabaseGroup group;
+    private final PromotionTargetSelector selector;
     private final PromotionAuthority authority;
     private final PromotionLeaderElection election;
     private final DecisionLoop loop;
-    private final Set<String> rejectedEndpoints = new HashSet<>();
     private Option<Endpoint> oldPrimary = Option.none();
     private boolean planned;
-    private boolean targetChosen;
     private int orders;
     private boolean ended;
     private long settledAtMillis = Long.MAX_VALUE;
@@ -50,11 +42,13 @@
     ReplicaPromotion(
             String self,
             DatabaseGroup group,
+            PromotionTargetSelector selector,
             PromotionAuthority authority,
             PromotionLeaderElection election,
             DecisionLoop loop) {
         this.self = self;
         this.group = group;
+        this.selector = selector;
         this.authority = authority;
         this.election = election;
         this.loop = loop;
@@ -77,7 +71,7 @@
                 handover,
                 cutOff,
                 group.term());
-        queryCandidates();
+        selector.select(oldPrimary, this::handleSelection);
     }
 
     /** Returns whether the promotion has ended and has either taken effect or had enough time to do so. */
@@ -88,65 +82,14 @@
         return ended && (replaced || nowMillis >= settledAtMillis);
     }
 
-    private List<Endpoint> candidates() {
-        return group.endpoints().stream()
-                .filter(endpoint -> !endpoint.draining()
-                        && !oldPrimary.exists(primary -> primary.id().equals(endpoint.id()))
-                        && !rejectedEndpoints.contains(endpoint.id())
-                        && group.isReachable(endpoint.id()))
-                .toList();
-    }
-
-    private void queryCandidates() {
-        List<Endpoint> candidates = candidates();
-        List<CandidateStatus> statuses = new ArrayList<>();
-        candidates.forEach(candidate -> group.queryStatus(candidate.id(), STATUS_TIMEOUT_MILLIS, status -> {
-            status.forEach(known -> statuses.add(new CandidateStatus(candidate, known)));
-            if (statuses.size() == candidates.size()) {
-                chooseTarget(candidates, statuses);
-            }
-        }));
-        loop.schedule(STATUS_TIMEOUT_MILLIS, () -> chooseTarget(candidates, statuses));
-    }
-
-    private void chooseTarget(List<Endpoint> candidates, List<CandidateStatus> statuses) {
-        if (ended || targetChosen) {
-            return;
-        }
-        targetChosen = true;
-        Option<Endpoint> target = mostAdvanced(candidates, statuses);
-        if (target.isDefined()) {
-            orderPromotion(target.get());
-        } else {
+    private void handleSelection(Option<Endpoint> target) {
+        target.peek(this::orderPromotion).onEmpty(() -> {
             LOG.warn(
-                    "event=promotion_postponed group={} candidates={} answered={}",
+                    "event=promotion_postponed group={} endpoints={}",
                     group.name(),
-                    candidates.size(),
-                    statuses.size());
-            end(STATUS_RETRY_DELAY_MILLIS);
-        }
-    }
-
-    /**
-     * Returns the most advanced replica. With synchronous replicas, an acknowledged commit is guaranteed to be on that
-     * many replicas only, so more replicas must have answered than may lack it.
-     */
-    private Option<Endpoint> mostAdvanced(List<Endpoint> candidates, List<CandidateStatus> statuses) {
-        int replicas = (int) group.endpoints().stream()
-                .filter(endpoint -> !oldPrimary.exists(o -> o.id().equals(endpoint.id())))
-                .count();
-        int sync = group.declaration().syncReplicas();
-        boolean enoughAnswers = sync == 0 || statuses.size() > replicas - sync;
-        if (!enoughAnswers) {
-            return Option.none();
-        }
-        Option<Endpoint> best = Option.ofOptional(statuses.stream()
-                .max(Comparator.comparing(CandidateStatus::received)
-                        .thenComparing(one -> one.endpoint().id()))
-                .map(CandidateStatus::endpoint));
-        return sync > 0
-                ? best
-                : best.orElse(() -> Option.ofOptional(candidates.stream().findFirst()));
+                    group.endpoints().size());
+            end(SELECTION_RETRY_DELAY_MILLIS);
+        });
     }
 
     private void orderPromotion(Endpoint target) {
@@ -185,7 +128,6 @@
             }
             case REJECTED -> {
                 // The endpoint is down, or another VM has used a higher token; reading the record again tells which.
-                rejectedEndpoints.add(target.id());
                 election.tokenRejected();
                 end(ORDER_RETRY_DELAY_MILLIS);
             }
@@ -220,7 +162,7 @@
         oldPrimary.forEach(primary -> group.stepDown(
                 primary.id(),
                 group.term() + 1,
-                STATUS_TIMEOUT_MILLIS,
+                STEP_DOWN_TIMEOUT_MILLIS,
                 status -> LOG.info(
                         "event=primary_stepped_down group={} endpoint={} answered={}",
                         group.name(),
@@ -232,11 +174,4 @@
         ended = true;
         settledAtMillis = loop.nowMillis() + settleMillis;
     }
-
-    private record CandidateStatus(Endpoint endpoint, ReplicationStatus status) {
-
-        LogPosition received() {
-            return status.received();
-        }
-    }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -134,6 +134,7 @@
                 groups,
                 dependencies.promotionAuthority(),
                 dependencies.leadershipRecords(),
+                dependencies.commitHolders(),
                 dependencies.eras(),
                 loop,
                 dependencies.random(),
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -27,6 +28,7 @@
  * @param vms the VMs of the fleet
  * @param secrets the secret that the VMs of the fleet share
  * @param leadershipRecords the promotion leader
+ * @param commitHolders the servers that may hold acknowledged commits, by group
  * @param promotionAuthority orders promotions
  * @param statusDecoder decodes answers to status queries
  */
@@ -43,5 +45,6 @@
         ObjectTable<VmEntry> vms,
         ObjectTable<FleetSecret> secrets,
         ObjectTable<LeadershipRecord> leadershipRecords,
+        ObjectTable<CommitHolders> commitHolders,
         PromotionAuthority promotionAuthority,
         StatusDecoder statusDecoder) {}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
@@ -154,6 +154,7 @@
                     pool.loop().schedule(5, () -> done.accept(answer));
                 },
                 new FakeObjectTable<>(pool.loop()),
+                new FakeObjectTable<>(pool.loop()),
                 new StoreEraTracker(),
                 pool.loop(),
                 new Random(1),
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -57,7 +57,16 @@
     /** Returns the entry that the platform lists. */
     public Endpoint entry(String group, String dataCentre, long revision) {
         return new Endpoint(
-                id, group, "10.0.0.1", 1000, dataCentre, false, primary, 1, 0, new StorePosition(0, revision));
+                id,
+                group,
+                "10.0.0." + id.substring(1),
+                1000,
+                dataCentre,
+                false,
+                primary,
+                1,
+                0,
+                new StorePosition(0, revision));
     }
 
     /** Returns the identifiers of the callers' statements that were executed, in order. */
@@ -181,7 +190,7 @@
         }
         loop.schedule(CONNECT_DELAY_MILLIS, () -> {
             if (!running) {
-                listener.closed();
+                listener.notListening();
             } else if (misrouted) {
                 listener.refused(ErrorCode.MISROUTED);
             } else if (connectionsExhausted || links.size() >= maxConnections) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -150,6 +150,19 @@
         groups.update(catalog, entries, vms);
     }
 
+    /** Removes the entry of an endpoint. */
+    public void removeEndpoint(String id, int vms) {
+        entries.removeIf(entry -> entry.id().equals(id));
+        groups.update(catalog, entries, vms);
+    }
+
+    /** Adds a replica; its entry is listed by {@link #updateEndpoint}. */
+    public FakeEndpoint addEndpoint(String id, int maxConnections) {
+        FakeEndpoint added = new FakeEndpoint(loop, id, false, maxConnections);
+        endpoints.put(id, added);
+        return added;
+    }
+
     /** Returns a configuration with the three routes. */
     public static Catalog catalog(int maxConnections, Map<String, Account> accounts) {
         return catalog(maxConnections, 0, accounts);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
@@ -97,6 +98,7 @@
                 vms.client(eras),
                 secrets.client(eras),
                 new FakeObjectTable<LeadershipRecord>(loop),
+                new FakeObjectTable<CommitHolders>(loop),
                 (order, done) -> done.accept(PromotionAuthority.Answer.REJECTED),
                 rows -> Option.none());
         FleetMembership membership = new FleetMembership(
