End sessions and transactions right after an answer when a VM stops, and start nothing that may outlive it

Cause: the drain looked every 50 ms for sessions that were idle at that moment. A session whose caller sends the next statement 2 ms after an answer is hardly ever found so, and nothing ended it right after the answer. Statements were accepted up to the end, whatever time was left.

Change: StopSchedule (core, pure) says when sessions end, when transactions end and whether a statement may start. CallerSession asks it after each answer and before each statement, transaction and session; what no longer fits is refused as not run. The number of sessions closed per step is shared with the periodic check, so callers don't reconnect all at once.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -35,6 +35,9 @@
     /** Fraction of the latency objective for which an operation may wait for its client account's rate. */
     private static final double MAX_RATE_WAIT_RATIO = 0.2;
 
+    /** Reason given to callers whose transaction or operation ends because of a stop. */
+    private static final String STOPPING = "the VM is stopping";
+
     private final Sessions sessions;
     private final CallerLink link;
     private final Map<String, String> values = new TreeMap<>();
@@ -78,7 +81,8 @@
     /** Opens or refuses the session under the current configuration. */
     void openOrRefuse() {
         awaitingConfiguration = false;
-        Either<ErrorCode, Authorization> authorization = authorize();
+        Either<ErrorCode, Authorization> authorization = authorize()
+                .filterOrElse(allowed -> sessions.mayStart(allowed.route()), allowed -> ErrorCode.OVERLOADED);
         if (open || authorization.isLeft()) {
             ErrorCode code = open ? ErrorCode.MALFORMED : authorization.getLeft();
             sessions.log().sessionRefused(database, code, sessions.catalog().version());
@@ -134,10 +138,10 @@
         return !statementRunning && !awaitingConfiguration && transaction.isEmpty();
     }
 
-    /** Aborts an open transaction unless a statement is running. */
-    void abortIdleTransaction(String cause) {
+    /** Aborts an open transaction, because the VM stops, unless a statement is running. */
+    void abortIdleTransaction() {
         if (!statementRunning) {
-            transaction.forEach(running -> running.abort(cause));
+            transaction.forEach(running -> running.abort(STOPPING));
         }
     }
 
@@ -220,10 +224,24 @@
         currentRequest = Option.none();
         if (!closed) {
             link.reply(reply);
+            endIfStopping();
             runNext();
         }
     }
 
+    /**
+     * Ends the transaction or the session at the boundary that a reply makes, because the VM stops. A caller that sends
+     * its next statement at once is never found idle later.
+     */
+    private void endIfStopping() {
+        if (sessions.endsTransactions()) {
+            abortIdleTransaction();
+        }
+        if (isIdle() && pipeline.isEmpty() && sessions.endsAfterOperation()) {
+            close();
+        }
+    }
+
     private TransactionStatus status() {
         return transaction
                 .map(running -> running.isFailed() ? TransactionStatus.FAILED : TransactionStatus.OPEN)
@@ -303,6 +321,10 @@
             fail(ErrorCode.MALFORMED, "a transaction is open");
             return;
         }
+        if (sessions.endsTransactions()) {
+            fail(ErrorCode.OVERLOADED, STOPPING);
+            return;
+        }
         admit((authorization, permit) -> {
             transaction = Option.some(new CallerTransaction(this, authorization, permit, begin.readOnly()));
             sessions.prefetch(transaction.get(), true);
@@ -316,6 +338,10 @@
         } else if (transaction.get().isFailed()) {
             transaction = Option.none();
             fail(ErrorCode.ABORTED, "the transaction was rolled back");
+        } else if (!sessions.mayStart(transaction.get().route())) {
+            transaction.get().rollback();
+            transaction = Option.none();
+            fail(ErrorCode.ABORTED, STOPPING);
         } else if (checkKey()) {
             transaction.get().commit(new ExecutableStatement(id, commit.text(), Option.none(), false));
         }
@@ -323,7 +349,7 @@
 
     private void execute(ExecutableStatement statement) {
         if (transaction.isDefined()) {
-            if (checkKey()) {
+            if (mayContinue()) {
                 transaction.get().execute(statement);
             }
             return;
@@ -334,6 +360,16 @@
         });
     }
 
+    /** Returns whether a statement of the transaction may run; if not, rolls it back and fails the statement. */
+    private boolean mayContinue() {
+        if (!sessions.mayStart(transaction.get().route())) {
+            transaction.get().rollback();
+            fail(ErrorCode.ABORTED, STOPPING);
+            return false;
+        }
+        return checkKey();
+    }
+
     /** Returns whether the caller's key is still valid; if not, rolls back the transaction and fails the statement. */
     private boolean checkKey() {
         Catalog catalog = sessions.catalog();
@@ -356,6 +392,10 @@
                     "refused under configuration " + sessions.catalog().version());
             return;
         }
+        if (!sessions.mayStart(authorization.get().route())) {
+            fail(ErrorCode.OVERLOADED, STOPPING);
+            return;
+        }
         long maxWaitMillis = Math.round(authorization.get().route().objectiveMillis() * MAX_RATE_WAIT_RATIO);
         sessions.limiter()
                 .admit(
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -1,9 +1,11 @@
 package org.hyssopswitch.pool.session;
 
+import io.vavr.control.Option;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.hyssopswitch.core.drain.StopSchedule;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Route;
 import org.hyssopswitch.pool.endpoint.DatabaseGroups;
@@ -24,6 +26,7 @@
     private final LongSupplier clock;
     private final Set<CallerSession> openSessions = new LinkedHashSet<>();
     private Catalog catalog = Catalog.EMPTY;
+    private Option<SessionStop> stop = Option.none();
 
     /**
      * Creates a registry without sessions.
@@ -80,24 +83,52 @@
     }
 
     /**
-     * Closes sessions that are not starting, have no statement running and no transaction open.
+     * Begins to end the sessions, because the VM stops.
+     *
+     * @param schedule when it ends them
+     */
+    public void stop(StopSchedule schedule) {
+        stop = Option.some(new SessionStop(schedule, nowMillis()));
+    }
+
+    /** Starts no statement any more, because the process ends. */
+    public void refuseAll() {
+        stop.forEach(SessionStop::end);
+    }
+
+    /**
+     * Closes sessions that are not starting, have no statement running and no transaction open. While the VM stops, the
+     * rest of the limit is left to sessions that become idle until the next call.
      *
      * @param limit maximum number of sessions to close
      */
     public void closeIdle(int limit) {
-        List.copyOf(openSessions).stream()
+        List<CallerSession> idle = List.copyOf(openSessions).stream()
                 .filter(CallerSession::isIdle)
                 .limit(limit)
-                .forEach(CallerSession::close);
+                .toList();
+        idle.forEach(CallerSession::close);
+        stop.forEach(stopping -> stopping.allowCloses(limit - idle.size()));
     }
 
-    /**
-     * Aborts transactions that have no statement running.
-     *
-     * @param cause reason reported to the callers
-     */
-    public void abortIdleTransactions(String cause) {
-        List.copyOf(openSessions).forEach(session -> session.abortIdleTransaction(cause));
+    /** Aborts transactions that have no statement running, because the VM stops. */
+    public void abortIdleTransactions() {
+        List.copyOf(openSessions).forEach(CallerSession::abortIdleTransaction);
+    }
+
+    /** Whether a session ends now that it has answered an operation. */
+    boolean endsAfterOperation() {
+        return stop.exists(stopping -> stopping.takeClose(nowMillis()));
+    }
+
+    /** Whether a transaction ends now that it has answered a statement. */
+    boolean endsTransactions() {
+        return stop.exists(stopping -> stopping.endsTransactions(nowMillis()));
+    }
+
+    /** Whether a statement of a route may start, or the VM stops too soon for it. */
+    boolean mayStart(Route route) {
+        return !stop.exists(stopping -> !stopping.mayStart(nowMillis(), route.timeoutMillis()));
     }
 
     /** Whether a configuration was applied. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/SessionDrain.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/SessionDrain.java
@@ -1,6 +1,9 @@
 package org.hyssopswitch.pool.vm;
 
 import java.util.function.IntSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.drain.StopSchedule;
 import org.hyssopswitch.pool.session.Sessions;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
@@ -12,19 +15,18 @@
 
     private static final long STEP_PERIOD_MILLIS = 50;
 
-    /** Fraction of the grace period in which open transactions may end; idle ones are aborted afterwards. */
-    private static final double TRANSACTION_GRACE_FRACTION = 0.5;
-
     /** Time reserved for closing connections before the process is killed, milliseconds. */
     private static final long SHUTDOWN_RESERVE_MILLIS = 400;
 
-    /** Number of idle sessions closed per step, so that their callers do not reconnect all at once. */
+    /** Number of sessions closed per step, so that their callers do not reconnect all at once. */
     private static final int SESSIONS_CLOSED_PER_STEP = 4;
 
+    private static final Logger LOG = LogManager.getLogger(SessionDrain.class);
+
     private final DecisionLoop loop;
     private final IntSupplier remaining;
     private final Sessions sessions;
-    private final long graceMillis;
+    private final StopSchedule schedule;
     private final Runnable done;
     private final long startMillis;
 
@@ -32,24 +34,27 @@
         this.loop = loop;
         this.remaining = remaining;
         this.sessions = sessions;
-        this.graceMillis = graceMillis;
+        this.schedule = StopSchedule.of(graceMillis, READINESS_PROPAGATION_MILLIS, SHUTDOWN_RESERVE_MILLIS);
         this.done = done;
         this.startMillis = loop.nowMillis();
     }
 
     void start() {
-        loop.schedule(READINESS_PROPAGATION_MILLIS, this::step);
+        sessions.stop(schedule);
+        loop.schedule(Math.min(READINESS_PROPAGATION_MILLIS, schedule.endMillis()), this::step);
     }
 
     private void step() {
         long elapsed = loop.nowMillis() - startMillis;
-        boolean transactionGraceOver = elapsed > graceMillis * TRANSACTION_GRACE_FRACTION;
-        if (transactionGraceOver) {
-            sessions.abortIdleTransactions("the VM is stopping");
+        boolean transactionsEnd = schedule.endsTransactions(elapsed);
+        if (transactionsEnd) {
+            sessions.abortIdleTransactions();
         }
-        sessions.closeIdle(transactionGraceOver ? Integer.MAX_VALUE : SESSIONS_CLOSED_PER_STEP);
-        boolean empty = transactionGraceOver && remaining.getAsInt() == 0;
-        if (empty || elapsed > graceMillis - SHUTDOWN_RESERVE_MILLIS) {
+        sessions.closeIdle(transactionsEnd ? Integer.MAX_VALUE : SESSIONS_CLOSED_PER_STEP);
+        boolean empty = transactionsEnd && remaining.getAsInt() == 0;
+        if (empty || schedule.isOver(elapsed)) {
+            LOG.info("event=drain_ended sessions={} remaining={}", sessions.size(), remaining.getAsInt());
+            sessions.refuseAll();
             done.run();
         } else {
             loop.schedule(STEP_PERIOD_MILLIS, this::step);
