PostgreSQL engine: end a transaction in steady use between two statements when a VM stops

Sessions of this engine end right after an answer once no transaction is open, but a transaction that its caller uses without a pause went on until the end of the drain and was cut off in the middle of a statement (08006 at the caller, whether the statement ran is unknown).

Change: the drain follows the StopSchedule of the other engine. In its second half, sessions end at the next boundary of a statement, with 57P01; the open transaction is rolled back.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
@@ -41,6 +41,7 @@
     private int waitingBytes;
     private boolean skipping;
     private boolean draining;
+    private boolean transactionsEnd;
     private boolean ended;
 
     CallerSession(
@@ -134,6 +135,12 @@
         endIfDrained();
     }
 
+    /** Ends the session at its next statement boundary; an open transaction is rolled back. */
+    void endTransaction() {
+        transactionsEnd = true;
+        endIfDrained();
+    }
+
     /** Ends the session if its key is not in force any more. */
     void recheck() {
         if (current.isEmpty() && !ended) {
@@ -287,7 +294,8 @@
     }
 
     private void endIfDrained() {
-        if (draining && idle()) {
+        boolean betweenStatements = current.isEmpty() && waiting.isEmpty();
+        if (draining && (idle() || (transactionsEnd && betweenStatements))) {
             endFatal(new Refusal.ShuttingDown());
         }
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/EntryService.java
@@ -95,6 +95,11 @@
         sessions.all().forEach(CallerConnection::drain);
     }
 
+    /** Ends every session at its next statement boundary, also inside a transaction. */
+    public void endTransactions() {
+        sessions.all().forEach(connection -> connection.session().forEach(CallerSession::endTransaction));
+    }
+
     /** The number of callers' connections. */
     public int connections() {
         return sessions.size();
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/vm/VmRuntime.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.drain.StopSchedule;
 import org.hyssopswitch.core.engine.Event;
 import org.hyssopswitch.core.failure.HyssopException;
 import org.hyssopswitch.core.identity.EndpointId;
@@ -168,7 +169,7 @@
             entry.drain();
             core.departure().begin();
             long now = loop.nowMillis();
-            awaitDrained(now + MIN_DRAIN_MILLIS, now + options.drainMillis(), done);
+            awaitDrained(now, StopSchedule.of(options.drainMillis(), 0, 0), done);
         });
         return done;
     }
@@ -278,11 +279,14 @@
         }
     }
 
-    private void awaitDrained(long notBefore, long deadline, CompletableFuture<Boolean> done) {
-        long now = loop.nowMillis();
+    private void awaitDrained(long startMillis, StopSchedule schedule, CompletableFuture<Boolean> done) {
+        long elapsed = loop.nowMillis() - startMillis;
+        if (schedule.endsTransactions(elapsed)) {
+            entry.endTransactions();
+        }
         boolean idle =
                 entry.connections() == 0 && home.isIdle() && core.departure().done();
-        if ((idle && now >= notBefore) || now >= deadline) {
+        if ((idle && elapsed >= MIN_DRAIN_MILLIS) || schedule.isOver(elapsed)) {
             LOG.info("event=vm_drained vm={} complete={}", self().vm(), idle);
             // The loop cannot wait for its own end.
             Thread closer = new Thread(
@@ -293,7 +297,7 @@
                     "vm-close");
             closer.start();
         } else {
-            loop.schedule(DRAIN_CHECK_MILLIS, () -> awaitDrained(notBefore, deadline, done));
+            loop.schedule(DRAIN_CHECK_MILLIS, () -> awaitDrained(startMillis, schedule, done));
         }
     }
 
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/SessionFaultTests.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/vm/SessionFaultTests.java
@@ -171,6 +171,23 @@
         }
     }
 
+    /** Guards against a statement that is cut off at the end of the drain, in a transaction that is used without a pause. */
+    @Test
+    void endsATransactionInSteadyUseBetweenTwoStatements() throws Exception {
+        try (Connection busy = fleet.connect(0)) {
+            busy.setAutoCommit(false);
+            TestFleet.execute(busy, "INSERT INTO kv (key, value) VALUES ('steady', 'a')");
+            var stopped = fleet.vm(0).shutdown().toCompletableFuture();
+            SQLException end = assertThrows(SQLException.class, () -> {
+                while (!stopped.isDone()) {
+                    TestFleet.execute(busy, "UPDATE kv SET value = 'b' WHERE key = 'steady'");
+                }
+            });
+            assertEquals("57P01", end.getSQLState(), end.getMessage());
+            assertTrue(stopped.get(), "the drain ended with a request at work");
+        }
+    }
+
     /** Repeats a statement until a change that spreads in the background has taken effect. */
     private static SQLException awaitFailure(Connection connection, String sql) {
         for (int i = 0; i < PATIENCE; i++) {
