--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitHolder.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitHolder.java
@@ -1,5 +1,7 @@
 package org.hyssopswitch.core.failover;
 
+import java.util.Objects;
+
 /**
  * One process of a database server that may hold acknowledged commits.
  *
@@ -11,6 +13,12 @@
  */
 public record CommitHolder(String endpoint, long bornMillis, String host, int port, boolean draining) {
 
+    /** Checks that the process can be found. */
+    public CommitHolder {
+        Objects.requireNonNull(endpoint, "endpoint");
+        Objects.requireNonNull(host, "host");
+    }
+
     /**
      * Whether both entries describe the same process.
      *
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitHolders.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitHolders.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -30,6 +31,8 @@
     /** Copies the list. */
     public CommitHolders {
         holders = List.copyOf(holders);
+        Objects.requireNonNull(primary, "primary");
+        Objects.requireNonNull(floor, "floor");
     }
 
     /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/FleetMembership.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import io.vavr.control.Try;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.ArrayList;
@@ -214,9 +215,8 @@
     }
 
     private void applyListing(Listing<VmEntry> listing) {
-        List<VersionedObject<VmEntry>> known = withRetained(listing.objects().stream()
-                .filter(stored -> stored.value().isDefined())
-                .toList());
+        List<VersionedObject<VmEntry>> known = withRetained(
+                listing.objects().stream().filter(FleetMembership::isUsable).toList());
         Map<String, String> current = new HashMap<>();
         current.put(dependencies.name(), dependencies.self().dataCentre());
         known.forEach(stored -> current.put(stored.name(), stored.value().get().dataCentre()));
@@ -247,6 +247,14 @@
         return all;
     }
 
+    /** Whether the entry names a VM; one that another writer has left must not hide the others. */
+    private static boolean isUsable(VersionedObject<VmEntry> stored) {
+        return stored.value().exists(entry -> Try.of(() -> address(stored.name(), entry))
+                .onFailure(error ->
+                        LOG.warn("event=vm_entry_unusable vm={} cause=\"{}\"", stored.name(), error.getMessage()))
+                .isSuccess());
+    }
+
     private static Collection<VmAddress> addresses(List<VersionedObject<VmEntry>> known) {
         return known.stream()
                 .map(stored -> address(stored.name(), stored.value().get()))
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
@@ -77,6 +77,18 @@
         assertEquals("dc-0", vms.copy().objects().get("vm-1").value().get().dataCentre());
     }
 
+    /** Guards against an entry of another writer that hides all VMs of the fleet. */
+    @Test
+    void findsTheOthersBesideAnEntryThatNamesNoVm() throws IOException {
+        vms.put("vm-2", entry("dc-2"));
+        vms.put("vm-odd", new VmEntry("dc-1", "127.0.0.1", 99_999, 1));
+        vms.put("vm-older", new VmEntry("dc-1", "127.0.0.1", 7_560, -1));
+        vms.put("vm-nowhere", new VmEntry(null, null, 7_560, 1));
+        start();
+        loop.advance(1_000);
+        assertEquals(Set.of("vm-1", "vm-2"), dataCentres.keySet());
+    }
+
     private FleetSecret secret() {
         VersionedObject<FleetSecret> stored = secrets.copy().objects().get("secret");
         return stored == null ? null : stored.value().get();
