--- a/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/PlatformJson.java
+++ b/hyssopswitch-platform/src/main/java/org/hyssopswitch/platform/PlatformJson.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.engine.PrefixChanges;
 import org.hyssopswitch.core.engine.StoredObject;
 import org.hyssopswitch.core.identity.CellId;
@@ -13,9 +15,13 @@
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.identity.VmId;
 
-/** Reads and writes the JSON of the platform's API; anything unexpected is an {@link IOException}. */
+/**
+ * Reads and writes the JSON of the platform's API; anything unexpected is an {@link IOException}, except an entry in a
+ * list of VMs, which is left out.
+ */
 final class PlatformJson {
 
+    private static final Logger LOG = LogManager.getLogger(PlatformJson.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private PlatformJson() {}
@@ -64,10 +70,15 @@
                 field(node, "value").binaryValue());
     }
 
+    /** Decodes a list of VMs; an entry that names no VM must not hide the others. */
     private static List<VmAddress> addresses(JsonNode root, String name) throws IOException {
         List<VmAddress> result = new ArrayList<>();
         for (JsonNode node : array(root, name)) {
-            result.add(address(node));
+            try {
+                result.add(address(node));
+            } catch (IOException e) {
+                LOG.warn("event=vm_entry_unusable list={} cause=\"{}\"", name, e.getMessage());
+            }
         }
         return result;
     }
@@ -80,8 +91,8 @@
                     new DataCentreId(text(node, "dataCentre")),
                     new CellId(text(node, "cell")),
                     text(node, "host"),
-                    (int) number(node, "port"));
-        } catch (IllegalArgumentException e) {
+                    Math.toIntExact(number(node, "port")));
+        } catch (ArithmeticException | IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
--- a/hyssopswitch-platform/src/test/java/org/hyssopswitch/platform/HttpPlatformClientTests.java
+++ b/hyssopswitch-platform/src/test/java/org/hyssopswitch/platform/HttpPlatformClientTests.java
@@ -93,6 +93,19 @@
         }
     }
 
+    /** Guards against an entry of another writer that hides all VMs of the fleet. */
+    @Test
+    void listsTheOtherVmsBesideEntriesThatNameNone() throws Exception {
+        String outOfRange = VM_JSON.replaceFirst("\"port\":\\d+", "\"port\":99999");
+        String beyondInt = VM_JSON.replaceFirst("\"port\":\\d+", "\"port\":4294967297");
+        String entries = String.join(",", "17", "{}", outOfRange, VM_JSON, beyondInt);
+        try (ScriptedServer server = ScriptedServer.answering(200, "", "{\"live\":[" + entries + "],\"leaving\":[]}")) {
+            PlatformClient.VmList list =
+                    client(server).listVms().toCompletableFuture().get().get();
+            assertEquals(java.util.List.of(VM), list.live());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
