--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/drain/StopSchedule.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/drain/StopSchedule.java
@@ -57,13 +57,13 @@
     }
 
     /**
-     * Whether a statement may start. Until sessions are ended callers cannot know of the stop, and all may.
+     * Whether a statement may start. As long as transactions go on, all may: hardly any takes the rest of the grace period.
      *
      * @param elapsedMillis time since the stop was requested, milliseconds
      * @param timeoutMillis time within which the statement is answered, milliseconds
      */
     public boolean mayStart(long elapsedMillis, long timeoutMillis) {
-        return !endsSessions(elapsedMillis) || elapsedMillis + timeoutMillis <= endMillis;
+        return !endsTransactions(elapsedMillis) || elapsedMillis + timeoutMillis <= endMillis;
     }
 
     /**
