--- /dev/null
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/statement/package-info.java
@@ -0,0 +1,2 @@
+/** Names under which statements are prepared on the connections to endpoints. */
+package org.hyssopswitch.core.statement;
