Take the whole session state of a connection as lost once the endpoint does not know a prepared statement

After `NOSTMT` from an endpoint a statement was repeated without the values that its caller had set, a caller inside a transaction got NOSTMT for a statement whose preparing had been acknowledged (PINNED), and a lent connection was closed.

Cause: PooledConnection cleared its record of prepared statements only; CallerTransaction passed the code on; Lease.run prepared the statement again before the rollback, which an endpoint refuses in a failed transaction, so the connection was discarded. Ruled out: that sessions lack a value that their open transaction's connection has (values are only added, and one statement runs at a time, so SET, PREPARE and CLOSE are not handled between a statement's attempts or hedges).

Change: ConnectionSessionState holds values and statements of a connection; after NOSTMT its next use outside a transaction begins with RESET. Callers get ABORTED, as the transaction is rolled back. A lender applies no session before a rollback. FakeEndpoint now refuses everything but the end of a failed transaction, as endpoints do.

No log shows an endpoint that lost a statement; found by reading.

--- /dev/null
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionSessionState.java
@@ -0,0 +1,54 @@
+package org.hyssopswitch.pool.endpoint;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hyssopswitch.pool.statement.EndpointCommand;
+import org.hyssopswitch.pool.statement.PreparedShape;
+
+/** The session values and prepared statements of a connection, as the commands sent on it have set them. */
+final class ConnectionSessionState {
+
+    private final Map<String, String> values = new TreeMap<>();
+    private final Set<PreparedShape> prepared = new HashSet<>();
+    private boolean unknown;
+
+    /**
+     * Returns the commands that give the connection the values of a session and prepare a statement, and records them as
+     * sent.
+     *
+     * @param wanted values of the session
+     * @param shape the prepared statement to execute next, if any
+     * @param outsideTransaction whether no transaction is open on the connection, so that it may be reset
+     */
+    List<EndpointCommand> apply(Map<String, String> wanted, Option<PreparedShape> shape, boolean outsideTransaction) {
+        List<EndpointCommand> commands = new ArrayList<>();
+        boolean surplusValues = !wanted.keySet().containsAll(values.keySet());
+        if (surplusValues || (outsideTransaction && unknown)) {
+            commands.add(new EndpointCommand.Reset());
+            values.clear();
+            prepared.clear();
+            unknown = false;
+        }
+        wanted.forEach((name, value) -> {
+            if (!value.equals(values.put(name, value))) {
+                commands.add(new EndpointCommand.SetValue(name, value));
+            }
+        });
+        shape.filter(prepared::add).forEach(added -> commands.add(new EndpointCommand.Prepare(added)));
+        return commands;
+    }
+
+    /**
+     * Records that the endpoint does not know a statement that was prepared. It may have lost the values as well, so
+     * they are all set again before the next session uses the connection.
+     */
+    void markUnknown() {
+        unknown = true;
+        prepared.clear();
+    }
+}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -2,14 +2,10 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
-import java.util.TreeMap;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.statement.EndpointCommand;
@@ -24,8 +20,7 @@
     private final EndpointPool pool;
     private final Account account;
     private final Deque<PendingCommand> pending = new ArrayDeque<>();
-    private final Map<String, String> values = new TreeMap<>();
-    private final Set<PreparedShape> prepared = new HashSet<>();
+    private final ConnectionSessionState session = new ConnectionSessionState();
     private EndpointLink link;
     private State state = State.OPENING;
     private TransactionStatus status = TransactionStatus.IDLE;
@@ -53,19 +48,8 @@
             borrowed.applySession(sessionValues, shape);
             return;
         }
-        List<EndpointCommand> commands = new ArrayList<>();
-        if (!sessionValues.keySet().containsAll(values.keySet())) {
-            commands.add(new EndpointCommand.Reset());
-            values.clear();
-            prepared.clear();
-        }
-        sessionValues.forEach((name, value) -> {
-            if (!value.equals(values.put(name, value))) {
-                commands.add(new EndpointCommand.SetValue(name, value));
-            }
-        });
-        shape.filter(prepared::add).forEach(added -> commands.add(new EndpointCommand.Prepare(added)));
-        commands.forEach(command -> send(command, new SetupReply()));
+        boolean outsideTransaction = status == TransactionStatus.IDLE && pending.isEmpty();
+        session.apply(sessionValues, shape, outsideTransaction).forEach(command -> send(command, new SetupReply()));
     }
 
     /**
@@ -84,9 +68,9 @@
         link.send(List.of(command));
     }
 
-    /** Clears the record of prepared statements, after the endpoint reported one as unknown. */
+    /** Clears the record of prepared statements and values, after the endpoint reported a statement as unknown. */
     public void clearPrepared() {
-        prepared.clear();
+        session.markUnknown();
     }
 
     /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/Lease.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/lease/Lease.java
@@ -11,6 +11,7 @@
 import org.hyssopswitch.pool.peer.LeaseCommand;
 import org.hyssopswitch.pool.peer.LeaseReply;
 import org.hyssopswitch.pool.peer.LeaseRequest;
+import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
 
@@ -117,7 +118,10 @@
         }
         receivedCommands++;
         pendingReplies++;
-        connection.get().applySession(command.values(), command.shape());
+        if (!(command.command() instanceof EndpointCommand.Rollback)) {
+            // In a failed transaction the endpoint accepts only its end.
+            connection.get().applySession(command.values(), command.shape());
+        }
         connection.get().send(command.command(), new CommandReply(command.sequence()));
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -192,7 +192,8 @@
         if (error.code() == ErrorCode.READ_ONLY && primaryOnly()) {
             pooled.reportNotPrimary();
         }
-        if (error.code() == ErrorCode.STATEMENT_UNKNOWN) {
+        boolean statementLost = error.code() == ErrorCode.STATEMENT_UNKNOWN;
+        if (statementLost) {
             pooled.clearPrepared();
         }
         if (retryable && wasNotExecuted(error.code())) {
@@ -202,7 +203,12 @@
             retryOrFail(error.code(), error.text());
             return;
         }
-        failAndRollBack(pooled, error);
+        // The caller's preparing was acknowledged, so to the caller the statement cannot be unknown.
+        failAndRollBack(
+                pooled,
+                statementLost
+                        ? new StatementOutcome.Failed(ErrorCode.ABORTED, "the endpoint lost the prepared statement")
+                        : error);
     }
 
     private void failAndRollBack(PooledConnection pooled, StatementOutcome.Failed error) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -181,6 +181,11 @@
         return links.stream().filter(link -> link.silent).count();
     }
 
+    /** Loses the session values and prepared statements of all connections. */
+    public void loseSessionState() {
+        links.forEach(Link::reset);
+    }
+
     /** Opens a connection. */
     public EndpointLink connect(Account account, EndpointLink.Listener listener) {
         connectAttempts++;
@@ -259,7 +264,15 @@
             return control ? List.of(primary + " " + position.term() + " " + position.offset()) : List.of();
         }
 
+        private void reset() {
+            prepared.clear();
+            values.clear();
+        }
+
         private StatementOutcome run(EndpointCommand command) {
+            if (status == TransactionStatus.FAILED && !(command instanceof EndpointCommand.Rollback)) {
+                return failed(ErrorCode.MALFORMED);
+            }
             if (command instanceof EndpointCommand.StepDown) {
                 primary = false;
                 return StatementOutcome.Success.LOCAL;
@@ -276,8 +289,7 @@
                 return StatementOutcome.Success.LOCAL;
             }
             if (command instanceof EndpointCommand.Reset) {
-                prepared.clear();
-                values.clear();
+                reset();
                 return StatementOutcome.Success.LOCAL;
             }
             if (command instanceof EndpointCommand.SetValue set) {
