Bound the statements that are prepared on one connection

Connections kept every shape that any caller of their account had ever executed on them, in the VM and at the endpoint, until a session with fewer values reset them. Found by reading; no log shows it.

Change: outside transactions, a connection with 256 statements or 1 Mi characters of them is reset before another one is prepared, and its values are set again. Inside a transaction nothing is reset, because its statements need what is there.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionSessionState.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ConnectionSessionState.java
@@ -13,8 +13,15 @@
 /** The session values and prepared statements of a connection, as the commands sent on it have set them. */
 final class ConnectionSessionState {
 
+    /** Statements prepared on a connection; callers choose shapes, and the endpoint keeps them until the next reset. */
+    static final int MAX_PREPARED_STATEMENTS = 256;
+
+    /** Text of the statements prepared on a connection, characters. */
+    static final int MAX_PREPARED_CHARACTERS = 1 << 20;
+
     private final Map<String, String> values = new TreeMap<>();
     private final Set<PreparedShape> prepared = new HashSet<>();
+    private long preparedCharacters;
     private boolean unknown;
 
     /**
@@ -28,10 +35,10 @@
     List<EndpointCommand> apply(Map<String, String> wanted, Option<PreparedShape> shape, boolean outsideTransaction) {
         List<EndpointCommand> commands = new ArrayList<>();
         boolean surplusValues = !wanted.keySet().containsAll(values.keySet());
-        if (surplusValues || (outsideTransaction && unknown)) {
+        if (surplusValues || (outsideTransaction && (unknown || shape.exists(this::exceedsLimit)))) {
             commands.add(new EndpointCommand.Reset());
             values.clear();
-            prepared.clear();
+            clearPrepared();
             unknown = false;
         }
         wanted.forEach((name, value) -> {
@@ -39,7 +46,10 @@
                 commands.add(new EndpointCommand.SetValue(name, value));
             }
         });
-        shape.filter(prepared::add).forEach(added -> commands.add(new EndpointCommand.Prepare(added)));
+        shape.filter(prepared::add).forEach(added -> {
+            preparedCharacters += added.shape().length();
+            commands.add(new EndpointCommand.Prepare(added));
+        });
         return commands;
     }
 
@@ -49,6 +59,18 @@
      */
     void markUnknown() {
         unknown = true;
+        clearPrepared();
+    }
+
+    private boolean exceedsLimit(PreparedShape shape) {
+        return !prepared.contains(shape)
+                && !prepared.isEmpty()
+                && (prepared.size() >= MAX_PREPARED_STATEMENTS
+                        || preparedCharacters + shape.shape().length() > MAX_PREPARED_CHARACTERS);
+    }
+
+    private void clearPrepared() {
         prepared.clear();
+        preparedCharacters = 0;
     }
 }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/SessionStateTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/SessionStateTests.java
@@ -16,11 +16,52 @@
 /** Values and prepared statements of sessions at the connections that run their statements. */
 class SessionStateTests {
 
+    /** More than any connection keeps. */
+    private static final int MANY_STATEMENTS = 1_000;
+
+    /** Statements that a connection may keep, with room for the endpoint's own. */
+    private static final int KEPT_STATEMENTS = 256;
+
     /** Time for a connection to open and a statement to run on it, milliseconds. */
     private static final long EXECUTION_MILLIS = 60;
 
     private final TestPool pool = new TestPool(16, 6);
 
+    /** Guards against an endpoint whose memory grows with every shape that any caller of an account ever prepared. */
+    @Test
+    void boundsTheStatementsPreparedOnAConnection() {
+        FakeCaller caller = pool.connectCaller(TestPool.LATEST);
+        caller.send("v", new CallerStatement.SetValue("zone", "x"));
+        for (int number = 0; number < MANY_STATEMENTS; number++) {
+            execute(caller, "x" + number, "q" + number);
+            assertTrue(caller.lastReply().succeeded());
+        }
+        execute(caller, "again", "q0");
+        assertTrue(caller.lastReply().succeeded());
+        assertTrue(
+                pool.endpoint("e1").preparedStatements() <= KEPT_STATEMENTS,
+                pool.endpoint("e1").preparedStatements() + " prepared");
+        assertEquals(Map.of("zone", "x"), pool.endpoint("e1").sessionValues("x" + (MANY_STATEMENTS - 1)));
+        assertEquals(Map.of("zone", "x"), pool.endpoint("e1").sessionValues("again"));
+    }
+
+    /** Guards against a reset of the connection inside a transaction, which would drop what its statements need. */
+    @Test
+    void keepsAllStatementsPreparedInsideATransaction() {
+        FakeCaller caller = pool.connectCaller(TestPool.LATEST);
+        caller.send("b", new CallerStatement.Begin(false));
+        for (int number = 0; number < 2 * KEPT_STATEMENTS; number++) {
+            execute(caller, "x" + number, "q" + number);
+            assertTrue(caller.lastReply().succeeded());
+        }
+        assertEquals(2 * KEPT_STATEMENTS, pool.endpoint("e1").preparedStatements());
+        caller.send("c", new CallerStatement.Commit("COMMIT"));
+        pool.advance(EXECUTION_MILLIS);
+        assertTrue(caller.lastReply().succeeded());
+        execute(caller, "next", "other");
+        assertEquals(1, pool.endpoint("e1").preparedStatements());
+    }
+
     /** Guards against a statement that is repeated without the values that its caller has set. */
     @Test
     void setsTheValuesAgainWhereAStatementWasLost() {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -186,6 +186,11 @@
         links.forEach(Link::reset);
     }
 
+    /** Returns the greatest number of statements that are prepared on one connection. */
+    public int preparedStatements() {
+        return links.stream().mapToInt(link -> link.prepared.size()).max().orElse(0);
+    }
+
     /** Opens a connection. */
     public EndpointLink connect(Account account, EndpointLink.Listener listener) {
         connectAttempts++;
