Let the statements of a PostgreSQL session change only as the endpoint acknowledges it

Four cycles lead there: a Parse of a name in use that the endpoint refuses inside a transaction, or skips after an error, still replaced the old text; a Bind ahead of Close and Parse in one cycle ran the new text on a connection that lacked the old one; Close and Parse in one cycle forgot the statement; a Close that was skipped after an error forgot it as well.

Cause: a session remembered the texts of a cycle before the endpoint had seen it and forgot closed names after it, in neither case by what the endpoint had answered. Ruled out: statements of two sessions that meet (a connection is bound to one transaction and its named statements are closed before the next uses it), and acknowledgements that shift into the next cycle after an error (the queue belongs to one cycle on one connection).

Change: CycleRewriter remembers and forgets with ParseComplete and CloseComplete. Before it runs, a cycle only reserves room, by the same limits. A Bind behind a Close of the name is refused, as PostgreSQL does, instead of prepared again.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CallerSession.java
@@ -164,16 +164,11 @@
                 .filterOrElse(r -> identity.keyed() || r.open(), r -> new Refusal.AuthenticationFailed());
     }
 
-    /** Remembers the statements that a cycle prepares. */
-    Option<Refusal> remember(List<Frame> frames) {
-        boolean fits = frames.stream().filter(f -> f.is('P')).allMatch(statements::remember);
-        return fits ? Option.none() : Option.some(new Refusal.FeatureUnsupported("preparing that many statements"));
-    }
-
-    /** Forgets the statements that a cycle closed. */
-    void forgetClosed(List<Frame> frames) {
-        frames.stream().filter(f -> f.is('C')).forEach(f -> CycleRewriter.statementOf(f)
-                .forEach(statements::forget));
+    /** Reserves room for the statements that a cycle prepares. */
+    Option<Refusal> reserve(List<Frame> frames) {
+        return statements.reserve(frames)
+                ? Option.none()
+                : Option.some(new Refusal.FeatureUnsupported("preparing that many statements"));
     }
 
     void send(byte[] bytes, Runnable written) {
@@ -252,6 +247,7 @@
 
     private void next() {
         current = Option.none();
+        statements.releaseReservations();
         // A pass through the loop keeps a run of short cycles from growing the stack.
         context.loop().execute(() -> {
             runNext();
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -73,7 +73,7 @@
             return;
         }
         route = resolved.get();
-        Option<Refusal> refusal = context.collaborators().freshness().get().orElse(() -> session.remember(frames));
+        Option<Refusal> refusal = context.collaborators().freshness().get().orElse(() -> session.reserve(frames));
         if (refusal.isDefined()) {
             refuse(refusal.get());
             return;
@@ -86,7 +86,7 @@
     /** Takes further frames of an open cycle. */
     void more(CyclePart part) {
         open = part.open();
-        Option<Refusal> refusal = session.remember(part.frames());
+        Option<Refusal> refusal = session.reserve(part.frames());
         if (refusal.isDefined()) {
             refuse(refusal.get());
         } else if (stream.isEmpty()) {
@@ -294,10 +294,7 @@
         }
         long millis = context.nowMillis() - arrivedMillis;
         context.metrics().answered(session.identity().account(), route.read(), primary, millis);
-        end(() -> {
-            session.forgetClosed(frames);
-            session.complete(last, end, stream.get(), route, primary);
-        });
+        end(() -> session.complete(last, end, stream.get(), route, primary));
     }
 
     private void notRun(String reason) {
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleRewriter.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleRewriter.java
@@ -17,14 +17,17 @@
 
 /**
  * Prepares on the cycle's endpoint connection the statements that the session prepared elsewhere, and hides the
- * endpoint's answers to that from the caller.
+ * endpoint's answers to that from the caller. The statements of the session change only as the endpoint acknowledges what
+ * the cycle prepares and closes: it may refuse a statement, or skip it after an error.
  */
 final class CycleRewriter {
 
     private final PreparedStatements statements;
     private final Set<String> prepared;
     private final Queue<Parse> parses = new ArrayDeque<>();
+    private final Queue<Option<String>> closes = new ArrayDeque<>();
     private final Set<String> parsedHere = new HashSet<>();
+    private final Set<String> closedHere = new HashSet<>();
 
     /**
      * Creates a rewriter for one cycle on one connection.
@@ -75,53 +78,73 @@
      * @return the frames for the caller, encoded
      */
     byte[] filter(byte[] answer) {
-        if (parses.isEmpty()) {
+        if (parses.isEmpty() && closes.isEmpty()) {
             return answer;
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         FrameDecoder decoder = new FrameDecoder(false, Math.max(answer.length, FrameNetwork.MAX_FRAME_BYTES));
         decoder.feed(ByteBuffer.wrap(answer)).getOrElse(List.of()).stream()
-                .filter(f -> !f.is('1') || !answersInserted())
+                .filter(f -> !acknowledgesInserted(f))
                 .forEach(f -> out.writeBytes(f.encode()));
         return out.toByteArray();
     }
 
     private Option<Refusal> add(Frame frame, ByteArrayOutputStream out) {
         if (frame.is('P')) {
-            String name = new BodyReader(frame.body()).readString();
-            parses.add(new Parse(name, false));
+            String name = PreparedStatements.nameOf(frame);
+            parses.add(new Parse(frame, false));
             parsedHere.add(name);
+            closedHere.remove(name);
         } else if (frame.is('B') || frame.is('D')) {
-            Option<String> missing = statementOf(frame).filter(n -> !parsedHere.contains(n) && !prepared.contains(n));
+            Option<String> missing = statementOf(frame).filter(n -> !isPreparedHere(n));
             if (missing.isDefined()) {
-                Option<Frame> parse = statements.find(missing.get());
+                Option<Frame> parse = statements.find(missing.get()).filter(p -> !closedHere.contains(missing.get()));
                 if (parse.isEmpty()) {
                     return Option.some(new Refusal.StatementUnknown(missing.get()));
                 }
-                parses.add(new Parse(missing.get(), true));
+                parses.add(new Parse(parse.get(), true));
                 parsedHere.add(missing.get());
                 out.writeBytes(parse.get().encode());
             }
         } else if (frame.is('C')) {
-            statementOf(frame).forEach(n -> {
+            Option<String> closed = statementOf(frame);
+            closes.add(closed);
+            closed.forEach(n -> {
                 parsedHere.remove(n);
-                prepared.remove(n);
+                closedHere.add(n);
             });
         }
         out.writeBytes(frame.encode());
         return Option.none();
     }
 
-    private boolean answersInserted() {
-        Parse parse = parses.poll();
-        if (parse == null) {
-            return false;
+    private boolean isPreparedHere(String name) {
+        return parsedHere.contains(name) || (prepared.contains(name) && !closedHere.contains(name));
+    }
+
+    /** Records what a frame of the answer acknowledges, and returns whether that was inserted. */
+    private boolean acknowledgesInserted(Frame frame) {
+        if (frame.is('3')) {
+            Option.of(closes.poll()).flatMap(closed -> closed).forEach(this::closed);
+        }
+        return frame.is('1') && Option.of(parses.poll()).exists(this::parsed);
+    }
+
+    private void closed(String name) {
+        prepared.remove(name);
+        statements.forget(name);
+    }
+
+    private boolean parsed(Parse parse) {
+        String name = PreparedStatements.nameOf(parse.frame());
+        if (!name.isEmpty()) {
+            prepared.add(name);
         }
-        if (!parse.name().isEmpty()) {
-            prepared.add(parse.name());
+        if (!parse.inserted()) {
+            statements.remember(parse.frame());
         }
         return parse.inserted();
     }
 
-    private record Parse(String name, boolean inserted) {}
+    private record Parse(Frame frame, boolean inserted) {}
 }
