Log and count replies of endpoints that repeat one or answer no command

Callers saw answers that were not their own. An endpoint may answer a command twice, and replies carry no identifier, so a repeated reply goes to the next command on the connection. Until now a repeated reply left no trace, and one that came while no command was awaited closed the connection without a log line.

A reply counts as repeated if it carries the signature of the one before it on its connection. What happens to the replies is unchanged.

The fake endpoint of the tests repeats replies on request and gives each run a signature of its own, as the protocol demands.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.endpoint;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -59,6 +60,7 @@
     private final EndpointConnector connector;
     private final LeaseSource leases;
     private final PoolCallbacks callbacks;
+    private final MetricRegistry metrics;
     private final LongSupplier clock;
     private final List<PooledConnection> connections = new ArrayList<>();
     private final ConnectionRequestQueue waiting;
@@ -85,6 +87,7 @@
         this.connector = context.connector();
         this.leases = context.leases();
         this.callbacks = callbacks;
+        this.metrics = context.metrics();
         this.clock = context.clock();
         this.sampler = new PrimarySampler(this);
         this.lastContactMillis = clock.getAsLong();
@@ -278,6 +281,33 @@
         estimates.recordService(millis);
     }
 
+    /** Counts a repeated reply; logged once per connection. */
+    void recordReplyRepeated(String awaited, boolean first, long connectionAgeMillis) {
+        counters.recordReplyRepeated();
+        metrics.counter("endpoint_replies.repeated").inc();
+        if (first) {
+            LOG.warn(
+                    "event=reply_repeated endpoint={} group={} awaited={} connection_age_ms={}",
+                    endpoint.id(),
+                    endpoint.group(),
+                    awaited,
+                    connectionAgeMillis);
+        }
+    }
+
+    /** Counts and logs a connection on which replies no longer follow the commands in order. */
+    void recordOutOfStep(String awaited, String cause, long connectionAgeMillis) {
+        counters.recordOutOfStep();
+        metrics.counter("endpoint_replies.out_of_step").inc();
+        LOG.warn(
+                "event=connection_out_of_step endpoint={} group={} awaited={} cause={} connection_age_ms={}",
+                endpoint.id(),
+                endpoint.group(),
+                awaited,
+                cause,
+                connectionAgeMillis);
+    }
+
     void openRefused(ErrorCode code) {
         counters.recordOpenRefused();
         long now = nowMillis();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/GroupContext.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.endpoint;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
@@ -11,6 +12,7 @@
  * @param leases source of connections that other VMs lend
  * @param decoder decodes the replies to status queries
  * @param shortageListener receives group and endpoint if an endpoint refuses a connection of the VM's guaranteed share
+ * @param metrics registry of the VM's metrics
  * @param clock monotonic clock, milliseconds
  * @param wallClock wall clock, milliseconds since the epoch; it may be stepped
  */
@@ -20,5 +22,6 @@
         LeaseSource leases,
         StatusDecoder decoder,
         BiConsumer<String, String> shortageListener,
+        MetricRegistry metrics,
         LongSupplier clock,
         LongSupplier wallClock) {}
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
@@ -11,6 +11,8 @@
     private long leaseMillis;
     private long openRefused;
     private long evicted;
+    private long repliesRepeated;
+    private long outOfStep;
 
     void recordAssigned(long afterMillis) {
         assigned++;
@@ -35,12 +37,21 @@
         evicted++;
     }
 
+    void recordReplyRepeated() {
+        repliesRepeated++;
+    }
+
+    void recordOutOfStep() {
+        outOfStep++;
+    }
+
     /** Returns the counters as fields of a log line and resets them. */
     String reportAndReset() {
         String report = "assigned=" + assigned + " wait_ms_mean=" + mean(waitedMillis, assigned) + " opened=" + opened
                 + " open_ms_mean=" + mean(openMillis, opened) + " leased=" + leased + " lease_ms_mean="
                 + mean(leaseMillis, leased)
-                + " open_refused=" + openRefused + " evicted=" + evicted;
+                + " open_refused=" + openRefused + " evicted=" + evicted
+                + " replies_repeated=" + repliesRepeated + " out_of_step=" + outOfStep;
         assigned = 0;
         waitedMillis = 0;
         opened = 0;
@@ -49,6 +60,8 @@
         leaseMillis = 0;
         openRefused = 0;
         evicted = 0;
+        repliesRepeated = 0;
+        outOfStep = 0;
         return report;
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -16,6 +16,7 @@
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.PreparedShape;
 import org.hyssopswitch.pool.statement.Reply;
+import org.hyssopswitch.pool.statement.StatementOutcome;
 import org.hyssopswitch.pool.statement.TransactionStatus;
 
 /** A connection to an endpoint for one client account, used by one connection request at a time. */
@@ -26,14 +27,18 @@
     private final Deque<PendingCommand> pending = new ArrayDeque<>();
     private final Map<String, String> values = new TreeMap<>();
     private final Set<PreparedShape> prepared = new HashSet<>();
+    private final long createdMillis;
     private EndpointLink link;
     private State state = State.OPENING;
     private TransactionStatus status = TransactionStatus.IDLE;
     private long stateSinceMillis;
+    private Option<String> lastSignature = Option.none();
+    private boolean repeatLogged;
 
     PooledConnection(EndpointPool pool, Account account, long nowMillis) {
         this.pool = pool;
         this.account = account;
+        this.createdMillis = nowMillis;
         this.stateSinceMillis = nowMillis;
     }
 
@@ -150,8 +155,12 @@
     @Override
     public void replied(Reply reply) {
         pool.recordContact();
+        if (isRepeated(reply)) {
+            reportRepeated();
+        }
         PendingCommand first = pending.pollFirst();
         if (first == null) {
+            pool.recordOutOfStep("none", "reply_to_no_command", ageMillis());
             discard();
             return;
         }
@@ -241,6 +250,29 @@
         stateSinceMillis = pool.nowMillis();
     }
 
+    /** Whether the reply carries the signature of the one before; each run of a statement has a signature of its own. */
+    private boolean isRepeated(Reply reply) {
+        if (!(reply.outcome() instanceof StatementOutcome.Success success)
+                || success.equals(StatementOutcome.Success.LOCAL)) {
+            return false;
+        }
+        boolean repeated = lastSignature.contains(success.signature());
+        lastSignature = Option.some(success.signature());
+        return repeated;
+    }
+
+    private void reportRepeated() {
+        String awaited = Option.of(pending.peekFirst())
+                .map(first -> first.measured() ? "statement" : "command")
+                .getOrElse("none");
+        pool.recordReplyRepeated(awaited, !repeatLogged, ageMillis());
+        repeatLogged = true;
+    }
+
+    private long ageMillis() {
+        return pool.nowMillis() - createdMillis;
+    }
+
     private void completeReturn() {
         if (state != State.RETURNING || !pending.isEmpty()) {
             return;
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -125,6 +125,7 @@
                 borrower,
                 dependencies.statusDecoder(),
                 (group, endpoint) -> peers.sendToSubset(new ConnectionShortage(group, endpoint)),
+                metrics,
                 loop::nowMillis,
                 dependencies.timeOfDay()));
         this.lender = new ConnectionLender(groups, peers, loop::nowMillis);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Account;
@@ -45,6 +46,8 @@
     private boolean misrouted;
     private boolean connectionsExhausted;
     private int rejectedConnections;
+    private Predicate<EndpointCommand> repeated = command -> false;
+    private final List<Runnable> repeats = new ArrayList<>();
 
     /** Creates an endpoint that is running. */
     public FakeEndpoint(ManualLoop loop, String id, boolean primary, int maxConnections) {
@@ -181,6 +184,19 @@
         return links.stream().filter(link -> link.silent).count();
     }
 
+    /** Keeps a copy of each reply to the commands selected from now on, for {@link #sendRepeats}. */
+    public void repeatRepliesTo(Predicate<EndpointCommand> selected) {
+        repeated = selected;
+    }
+
+    /** Answers the selected commands for a second time, on the connections that are still open, and selects no more. */
+    public void sendRepeats() {
+        repeated = command -> false;
+        List<Runnable> sent = List.copyOf(repeats);
+        repeats.clear();
+        sent.forEach(loop::execute);
+    }
+
     /** Opens a connection. */
     public EndpointLink connect(Account account, EndpointLink.Listener listener) {
         connectAttempts++;
@@ -250,7 +266,17 @@
             if (outcome instanceof StatementOutcome.Failed && status == TransactionStatus.OPEN) {
                 status = TransactionStatus.FAILED;
             }
-            listener.replied(new Reply(rows(command), outcome, status, Option.some(position)));
+            Reply reply = new Reply(rows(command), outcome, status, Option.some(position));
+            if (repeated.test(command)) {
+                repeats.add(() -> repeat(reply));
+            }
+            listener.replied(reply);
+        }
+
+        private void repeat(Reply reply) {
+            if (!closed && links.contains(this)) {
+                listener.replied(reply);
+            }
         }
 
         private List<String> rows(EndpointCommand command) {
@@ -335,7 +361,7 @@
                 position = wrote ? new LogPosition(position.term(), position.offset() + 1) : position;
                 wrote = false;
             }
-            return new StatementOutcome.Success("signed-" + id);
+            return new StatementOutcome.Success("signed-" + id + "-" + statementId + "-" + executedStatements.size());
         }
 
         private StatementOutcome failed(ErrorCode code) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -48,6 +48,7 @@
     private final DatabaseGroups groups;
     private final Sessions sessions;
     private final AccountLimiter limiter;
+    private final MetricRegistry metrics = new MetricRegistry();
     private final List<String> shortages = new ArrayList<>();
     private Catalog catalog;
     private long suspendedMillis;
@@ -65,6 +66,7 @@
                 LeaseSource.NONE,
                 FakeEndpoint::decodeStatus,
                 (group, endpoint) -> shortages.add(endpoint),
+                metrics,
                 loop::nowMillis,
                 () -> loop.nowMillis() + suspendedMillis));
         limiter = new AccountLimiter(new UnreachablePeers(), loop::nowMillis);
@@ -72,7 +74,7 @@
                 groups,
                 limiter,
                 new RequestLog(loop::nowMillis, () -> 0),
-                new RequestMetrics(new MetricRegistry()),
+                new RequestMetrics(metrics),
                 loop::nowMillis);
         configure(catalog(maxConnections, Map.of(KEY, account("small"), "other-key", account("large"))), vms);
         tick();
@@ -123,6 +125,11 @@
         return groups.find(GROUP).get();
     }
 
+    /** Returns the value of a counter of the VM. */
+    public long counter(String name) {
+        return metrics.counter(name).getCount();
+    }
+
     /** Returns the current configuration. */
     public Catalog catalog() {
         return catalog;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
@@ -146,6 +146,7 @@
                     lending ? borrower : LeaseSource.NONE,
                     FakeEndpoint::decodeStatus,
                     (group, endpoint) -> {},
+                    new MetricRegistry(),
                     loop::nowMillis,
                     loop::nowMillis));
             lender = new ConnectionLender(groups, links, loop::nowMillis);
