Match replies of endpoints to commands by more than their order

What callers saw: the answer of another caller's statement (a signature that is not of their run), a statement that ran twice after it was reported as not run, and a write outside its transaction reported as rolled back.

Cause: replies carry no identifier and were matched to commands by order only. An endpoint that answers a command twice shifts all later replies of the connection by one, and connections are reused for other callers.

Change: ReplySequence (core, without I/O and clock) decides for each reply whether it answers the oldest unanswered command, repeats an earlier reply and is dropped, or shows that the connection is out of step and must be closed. It uses what tells replies apart: the signature of a run, rows, the transaction status that a command must leave, and whether a reply without a signature could repeat an earlier one.

When a connection is out of step, a write in a transaction that has not begun to commit is reported as in doubt and no longer as aborted: its transaction may never have started at the endpoint. Reads are retried elsewhere as before.

An error inside a transaction may leave it open or failed; one that leaves no transaction open is out of step. An error outside a transaction may leave the session failed, as an example of the protocol shows, so this is no mismatch.

Ruled out: statements that time out or are hedged. Their connection is closed, or their late reply is matched to them and ignored.

Open: a repeated answer to a rollback, session value or prepared statement can pass for the answer to the next such command. The surplus reply is noticed when the next signed one is awaited, and the connection is retired; an error of the later such command would meanwhile be taken for the statement's.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointPool.java
@@ -308,6 +308,12 @@
                 connectionAgeMillis);
     }
 
+    /** Counts a connection closed after its operation because later replies on it could not be told apart. */
+    void recordRetired() {
+        counters.recordRetired();
+        metrics.counter("endpoint_connections.retired").inc();
+    }
+
     void openRefused(ErrorCode code) {
         counters.recordOpenRefused();
         long now = nowMillis();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PoolCounters.java
@@ -13,6 +13,7 @@
     private long evicted;
     private long repliesRepeated;
     private long outOfStep;
+    private long retired;
 
     void recordAssigned(long afterMillis) {
         assigned++;
@@ -41,6 +42,10 @@
         repliesRepeated++;
     }
 
+    void recordRetired() {
+        retired++;
+    }
+
     void recordOutOfStep() {
         outOfStep++;
     }
@@ -51,7 +56,7 @@
                 + " open_ms_mean=" + mean(openMillis, opened) + " leased=" + leased + " lease_ms_mean="
                 + mean(leaseMillis, leased)
                 + " open_refused=" + openRefused + " evicted=" + evicted
-                + " replies_repeated=" + repliesRepeated + " out_of_step=" + outOfStep;
+                + " replies_repeated=" + repliesRepeated + " out_of_step=" + outOfStep + " retired=" + retired;
         assigned = 0;
         waitedMillis = 0;
         opened = 0;
@@ -62,6 +67,7 @@
         evicted = 0;
         repliesRepeated = 0;
         outOfStep = 0;
+        retired = 0;
         return report;
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -1,39 +1,39 @@
 package org.hyssopswitch.pool.endpoint;
 
 import io.vavr.control.Option;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import org.hyssopswitch.core.connection.ExpectedReply;
+import org.hyssopswitch.core.connection.ReplySequence;
+import org.hyssopswitch.core.connection.ReplyVerdict;
+import org.hyssopswitch.core.connection.SessionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.PreparedShape;
 import org.hyssopswitch.pool.statement.Reply;
-import org.hyssopswitch.pool.statement.StatementOutcome;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 
 /** A connection to an endpoint for one client account, used by one connection request at a time. */
 public final class PooledConnection implements EndpointLink.Listener {
 
     private final EndpointPool pool;
     private final Account account;
-    private final Deque<PendingCommand> pending = new ArrayDeque<>();
+    private final ReplySequence<PendingCommand> replies = new ReplySequence<>();
     private final Map<String, String> values = new TreeMap<>();
     private final Set<PreparedShape> prepared = new HashSet<>();
     private final long createdMillis;
     private EndpointLink link;
     private State state = State.OPENING;
-    private TransactionStatus status = TransactionStatus.IDLE;
     private long stateSinceMillis;
-    private Option<String> lastSignature = Option.none();
     private boolean repeatLogged;
+    private boolean outOfStep;
 
     PooledConnection(EndpointPool pool, Account account, long nowMillis) {
         this.pool = pool;
@@ -81,11 +81,11 @@
      */
     public void send(EndpointCommand command, ReplyHandler handler) {
         if (state == State.CLOSED) {
-            handler.connectionLost();
+            fail(handler);
             return;
         }
-        boolean measured = command instanceof EndpointCommand.Forward || command instanceof EndpointCommand.Execute;
-        pending.addLast(new PendingCommand(handler, pool.nowMillis(), measured));
+        ExpectedReply expected = ReplyFactUtils.expectedReply(command);
+        replies.sent(expected, new PendingCommand(handler, pool.nowMillis(), expected.signed()));
         link.send(List.of(command));
     }
 
@@ -140,6 +140,8 @@
             state = State.IDLE;
             stateSinceMillis = pool.nowMillis();
             pool.dispatch();
+        } else if (state != State.CLOSED) {
+            repeated(awaited());
         }
     }
 
@@ -155,21 +157,20 @@
     @Override
     public void replied(Reply reply) {
         pool.recordContact();
-        if (isRepeated(reply)) {
-            reportRepeated();
-        }
-        PendingCommand first = pending.pollFirst();
-        if (first == null) {
-            pool.recordOutOfStep("none", "reply_to_no_command", ageMillis());
-            discard();
+        if (state == State.CLOSED) {
             return;
         }
-        status = reply.status();
-        if (first.measured()) {
-            pool.recordServiceTime(pool.nowMillis() - first.sentMillis());
+        String awaited = awaited();
+        ReplyVerdict<PendingCommand> verdict = replies.received(ReplyFactUtils.receivedReply(reply));
+        if (verdict instanceof ReplyVerdict.Deliver<PendingCommand> deliver) {
+            deliver(deliver.handler(), reply);
+        } else if (verdict instanceof ReplyVerdict.OutOfStep<PendingCommand> faulty) {
+            pool.recordOutOfStep(awaited, faulty.cause(), ageMillis());
+            outOfStep = true;
+            discard();
+        } else {
+            repeated(awaited);
         }
-        first.handler().replied(reply);
-        completeReturn();
     }
 
     @Override
@@ -231,7 +232,7 @@
         if (state == State.OPENING) {
             return Option.some(stateSinceMillis);
         }
-        return Option.of(pending.peekFirst()).map(PendingCommand::sentMillis);
+        return replies.first().map(PendingCommand::sentMillis);
     }
 
     /**
@@ -239,7 +240,7 @@
      * answered on other connections since; nothing otherwise.
      */
     Option<Long> silentSinceMillis(long lastContactMillis) {
-        return Option.of(pending.peekFirst())
+        return replies.first()
                 .filter(first -> lastContactMillis > first.sentMillis()
                         && pool.nowMillis() - first.sentMillis() > first.timeoutMillis())
                 .map(PendingCommand::sentMillis);
@@ -250,23 +251,34 @@
         stateSinceMillis = pool.nowMillis();
     }
 
-    /** Whether the reply carries the signature of the one before; each run of a statement has a signature of its own. */
-    private boolean isRepeated(Reply reply) {
-        if (!(reply.outcome() instanceof StatementOutcome.Success success)
-                || success.equals(StatementOutcome.Success.LOCAL)) {
-            return false;
+    private void deliver(PendingCommand answered, Reply reply) {
+        if (answered.measured()) {
+            pool.recordServiceTime(pool.nowMillis() - answered.sentMillis());
         }
-        boolean repeated = lastSignature.contains(success.signature());
-        lastSignature = Option.some(success.signature());
-        return repeated;
+        answered.handler().replied(reply);
+        completeReturn();
     }
 
-    private void reportRepeated() {
-        String awaited = Option.of(pending.peekFirst())
-                .map(first -> first.measured() ? "statement" : "command")
-                .getOrElse("none");
+    /** Drops a repeated reply. More may follow, so the connection serves no further operation. */
+    private void repeated(String awaited) {
         pool.recordReplyRepeated(awaited, !repeatLogged, ageMillis());
         repeatLogged = true;
+        replies.retire();
+        if (state == State.IDLE) {
+            retire();
+        }
+    }
+
+    private void retire() {
+        pool.recordRetired();
+        discard();
+        pool.dispatch();
+    }
+
+    private String awaited() {
+        return replies.firstExpected()
+                .map(expected -> expected.name().toLowerCase(Locale.ROOT))
+                .getOrElse("none");
     }
 
     private long ageMillis() {
@@ -274,10 +286,14 @@
     }
 
     private void completeReturn() {
-        if (state != State.RETURNING || !pending.isEmpty()) {
+        if (state != State.RETURNING || !replies.isComplete()) {
+            return;
+        }
+        if (replies.retiring()) {
+            retire();
             return;
         }
-        if (status != TransactionStatus.IDLE) {
+        if (replies.status() != SessionStatus.IDLE) {
             discard();
             return;
         }
@@ -289,9 +305,15 @@
     private void markClosed() {
         state = State.CLOSED;
         pool.remove(this);
-        List<PendingCommand> unanswered = List.copyOf(pending);
-        pending.clear();
-        unanswered.forEach(one -> one.handler().connectionLost());
+        replies.drain().forEach(one -> fail(one.handler()));
+    }
+
+    private void fail(ReplyHandler handler) {
+        if (outOfStep) {
+            handler.outOfStep();
+        } else {
+            handler.connectionLost();
+        }
     }
 
     private enum State {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyHandler.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyHandler.java
@@ -27,4 +27,12 @@
 
     /** The connection was closed before the command was answered. */
     void connectionLost();
+
+    /**
+     * Replies no longer followed the commands of the connection in order, and it was closed. Unlike on a connection that
+     * was only lost, statements may have run outside the transaction that they belong to.
+     */
+    default void outOfStep() {
+        connectionLost();
+    }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -298,5 +298,15 @@
                         "the connection to endpoint " + pooled.endpointId() + " broke");
             }
         }
+
+        @Override
+        public void outOfStep() {
+            if (!ended) {
+                // The transaction may never have started at the endpoint, so that its writes were kept one by one.
+                fail(
+                        hasWritten ? ErrorCode.IN_DOUBT : ErrorCode.ABORTED,
+                        "the replies of endpoint " + pooled.endpointId() + " did not match its commands");
+            }
+        }
     }
 }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
@@ -48,6 +49,9 @@
     private int rejectedConnections;
     private Predicate<EndpointCommand> repeated = command -> false;
     private final List<Runnable> repeats = new ArrayList<>();
+    private boolean repeatsOpenings;
+    private boolean refusesTransactions;
+    private Option<Stutter> stutter = Option.none();
 
     /** Creates an endpoint that is running. */
     public FakeEndpoint(ManualLoop loop, String id, boolean primary, int maxConnections) {
@@ -189,9 +193,25 @@
         repeated = selected;
     }
 
+    /** Keeps a copy of each answer to the opening of a connection from now on, for {@link #sendRepeats}. */
+    public void repeatOpenings() {
+        repeatsOpenings = true;
+    }
+
+    /** Answers, in any phase of a connection, a fraction of the commands twice, for the second time at a later time. */
+    public void stutter(SplittableRandom random, double ratio, long maxDelayMillis) {
+        stutter = Option.some(new Stutter(random, ratio, maxDelayMillis));
+    }
+
+    /** Refuses to start transactions as overloaded. */
+    public void setRefusesTransactions(boolean refuse) {
+        refusesTransactions = refuse;
+    }
+
     /** Answers the selected commands for a second time, on the connections that are still open, and selects no more. */
     public void sendRepeats() {
         repeated = command -> false;
+        repeatsOpenings = false;
         List<Runnable> sent = List.copyOf(repeats);
         repeats.clear();
         sent.forEach(loop::execute);
@@ -215,12 +235,25 @@
             } else if (!link.closed) {
                 links.add(link);
                 openedConnections++;
-                listener.opened(Option.some(position));
+                LogPosition atOpening = position;
+                link.deliver(() -> listener.opened(Option.some(atOpening)), repeatsOpenings);
             }
         });
         return link;
     }
 
+    /** Decides which answers are repeated, and when. */
+    private record Stutter(SplittableRandom random, double ratio, long maxDelayMillis) {
+
+        boolean occurs() {
+            return random.nextDouble() < ratio;
+        }
+
+        long delayMillis() {
+            return random.nextLong(maxDelayMillis + 1);
+        }
+    }
+
     private final class Link implements EndpointLink {
 
         private final Listener listener;
@@ -267,16 +300,21 @@
                 status = TransactionStatus.FAILED;
             }
             Reply reply = new Reply(rows(command), outcome, status, Option.some(position));
-            if (repeated.test(command)) {
-                repeats.add(() -> repeat(reply));
-            }
-            listener.replied(reply);
+            deliver(() -> listener.replied(reply), repeated.test(command));
         }
 
-        private void repeat(Reply reply) {
-            if (!closed && links.contains(this)) {
-                listener.replied(reply);
+        /** Delivers an answer, and again later if it is to be repeated. */
+        private void deliver(Runnable answer, boolean repeat) {
+            Runnable again = () -> {
+                if (!closed && links.contains(this)) {
+                    answer.run();
+                }
+            };
+            if (repeat) {
+                repeats.add(again);
             }
+            stutter.filter(Stutter::occurs).forEach(occurring -> loop.schedule(occurring.delayMillis(), again));
+            answer.run();
         }
 
         private List<String> rows(EndpointCommand command) {
@@ -333,6 +371,9 @@
             if (!begin.readOnly() && !primary) {
                 return failed(ErrorCode.READ_ONLY);
             }
+            if (refusesTransactions) {
+                return failed(ErrorCode.OVERLOADED);
+            }
             if (begin.floor().exists(floor -> floor.compareTo(position) > 0)) {
                 return failed(ErrorCode.LAGGING);
             }
@@ -361,7 +402,7 @@
                 position = wrote ? new LogPosition(position.term(), position.offset() + 1) : position;
                 wrote = false;
             }
-            return new StatementOutcome.Success("signed-" + id + "-" + statementId + "-" + executedStatements.size());
+            return new StatementOutcome.Success("signed." + id + "." + statementId + "." + executedStatements.size());
         }
 
         private StatementOutcome failed(ErrorCode code) {
