Leave writes in doubt when a lent connection breaks or is out of step

What callers saw: a write reported as rolled back although it may have run outside its transaction, here through a connection that another VM lends.

Cause: the lender ends the lease with the same reason when its connection broke and when replies on it were out of step, and the borrower took both for a lost connection, whose transaction is rolled back.

Change: the borrower treats this reason as out of step. A transaction that has written is then in doubt; callers may still retry it in full, because its commit was not sent. The message between VMs is unchanged, so VMs of different versions understand each other.

Ruled out by reading: replies for a released or abandoned lease (the lender discards the connection while a command is unanswered, and looks leases up by VM and identifier), and replies out of order between VMs (sequence numbers).

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -188,6 +188,8 @@
         if (state == State.CLOSED) {
             return;
         }
+        // The lender does not report whether its connection broke or was out of step.
+        outOfStep = reason == LeaseEndReason.BROKEN;
         boolean opening = state == State.OPENING;
         markClosed();
         pool.leaseEnded(account, opening, reason);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/lease/LentConnectionTests.java
@@ -11,6 +11,7 @@
 import org.hyssopswitch.pool.peer.LeaseCommand;
 import org.hyssopswitch.pool.peer.LeaseReply;
 import org.hyssopswitch.pool.statement.CallerStatement;
+import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.testing.FakeCaller;
 import org.hyssopswitch.pool.testing.TestPool;
@@ -223,6 +224,51 @@
         assertEquals(Map.of("name", "one"), fleet.endpoint("e1").sessionValues("p1"));
     }
 
+    /** Guards against a caller that gets the answer to the statement of a caller of another VM. */
+    @Test
+    void dropsARepeatedReplyToTheLeaseBeforeOnTheConnection() {
+        int vm = other(fleet.lenderIndex("e1"));
+        FakeCaller first = fleet.connectCaller(vm, TestPool.LATEST, 1);
+        FakeCaller second = fleet.connectCaller(other(vm), TestPool.LATEST, 1);
+        fleet.endpoint("e1").setWorkMillis(20);
+        fleet.endpoint("e1").repeatRepliesTo(EndpointCommand.Forward.class::isInstance);
+        first.write("w1");
+        fleet.advance(100);
+        second.write("w2");
+        fleet.advance(15);
+        fleet.endpoint("e1").sendRepeats();
+        fleet.advance(100);
+        assertTrue(signature(first).contains(".w1."), signature(first));
+        assertTrue(signature(second).contains(".w2."), signature(second));
+    }
+
+    /** Guards against a write outside its transaction at the lender's endpoint that is reported as rolled back. */
+    @Test
+    void leavesAWriteInDoubtWhoseLeaseEndsBecauseRepliesAreOutOfStep() {
+        int vm = other(fleet.lenderIndex("e1"));
+        FakeCaller first = fleet.connectCaller(vm, TestPool.LATEST, 1);
+        fleet.endpoint("e1").repeatRepliesTo(EndpointCommand.Begin.class::isInstance);
+        first.send("b1", new CallerStatement.Begin(false));
+        first.write("w1");
+        first.send("c1", new CallerStatement.Commit("COMMIT"));
+        fleet.advance(200);
+        assertTrue(first.lastReply().succeeded());
+        fleet.endpoint("e1").setRefusesTransactions(true);
+        FakeCaller second = fleet.connectCaller(vm, TestPool.LATEST, 1);
+        second.send("b2", new CallerStatement.Begin(false));
+        second.write("w2");
+        while (fleet.endpoint("e1").unansweredCommands() == 0) {
+            fleet.advance(1);
+        }
+        fleet.endpoint("e1").sendRepeats();
+        fleet.advance(500);
+        assertEquals(ErrorCode.IN_DOUBT, second.lastError());
+    }
+
+    private static String signature(FakeCaller caller) {
+        return caller.lastReply().outcome().toString();
+    }
+
     private int other(int vm) {
         return (vm + 1) % VMS;
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -49,6 +49,7 @@
     private int rejectedConnections;
     private Predicate<EndpointCommand> repeated = command -> false;
     private final List<Runnable> repeats = new ArrayList<>();
+    private int unansweredCommands;
     private boolean repeatsOpenings;
     private boolean refusesTransactions;
     private Option<Stutter> stutter = Option.none();
@@ -193,6 +194,11 @@
         repeated = selected;
     }
 
+    /** Returns the number of commands that are received and not yet answered. */
+    public int unansweredCommands() {
+        return unansweredCommands;
+    }
+
     /** Keeps a copy of each answer to the opening of a connection from now on, for {@link #sendRepeats}. */
     public void repeatOpenings() {
         repeatsOpenings = true;
@@ -281,7 +287,11 @@
                 freeAtMillis = Math.max(freeAtMillis, loop.nowMillis())
                         + REPLY_DELAY_MILLIS
                         + (runsStatement ? workMillis : 0);
-                loop.schedule(freeAtMillis - loop.nowMillis(), () -> answer(command));
+                unansweredCommands++;
+                loop.schedule(freeAtMillis - loop.nowMillis(), () -> {
+                    unansweredCommands--;
+                    answer(command);
+                });
             }
         }
 
