PostgreSQL engine: number what is sent to an endpoint, and close a connection whose answer has another number

Seen: an endpoint may answer twice, the second time late, on the same connection. A home matched answers to cycles by order only. An answer that came again while the next cycle ran was taken for that cycle's: the rows of one caller went to another, an await of a later write was confirmed by the answer to the await of an earlier one (a write was acknowledged that no majority holds), and a repeated 25006 could have a write that ran reported as not run. An answer and its repetition in one packet ended a cycle, a reset or a control call that had started in between.

Cause: the protocol has no message numbers, and frames that arrived during a cycle were not checked at all.

Change: a home puts Close, Parse and Describe of a statement without text in front of all that it sends. The parameter types of that statement spell a number, which ParameterDescription repeats; AnswerSequence in core.connection checks it, and that every further frame fits the frames sent. A frame that does not fit closes the connection; what runs on it is reported as unknown (08007). Frames behind ReadyForQuery in one packet are matched against the next cycle. Log positions are taken right before ReadyForQuery only, and a commit position only behind all earlier ones.

Ruled out: shapes alone (two reads of one form have equal answers); a number of leading Close frames (numbers return too soon); a comment or application_name (nothing repeats them in every answer). Such a statement may be closed, prepared and described in a failed transaction and leaves the unnamed statement and portals alone. This was read in the protocol's description and run against this project's stand-in only, not against another server.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/CycleRun.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/CycleRun.java
@@ -115,7 +115,7 @@
                         .toOption();
                 stream.buffer(frame.encode());
             }
-            case 'G', 'W' -> connection.run(copyFailFrame(), this);
+            case 'G', 'W' -> connection.refuseCopy(copyFailFrame());
             default -> stream.buffer(frame.encode());
         }
     }
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointConnection.java
@@ -1,10 +1,15 @@
 package org.hyssopswitch.proxy.home;
 
 import io.vavr.control.Option;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.connection.AnswerSequence;
 import org.hyssopswitch.core.identity.ClientAccountId;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.proxy.net.FrameChannel;
@@ -19,6 +24,8 @@
 /** A connection to an endpoint, including its login. It runs one cycle at a time. */
 final class EndpointConnection implements FrameListener {
 
+    private static final Logger LOG = LogManager.getLogger(EndpointConnection.class);
+    private static final int FRAME_HEADER_BYTES = 5;
     private static final int AUTHENTICATION_OK = 0;
     private static final int AUTHENTICATION_CLEARTEXT = 3;
 
@@ -26,6 +33,8 @@
     private final ConnectionSpec spec;
     private final Owner owner;
     private final Set<String> preparedStatements = new HashSet<>();
+    private final AnswerSequence answers = new AnswerSequence();
+    private final AnswerMark mark = new AnswerMark();
     private Option<FrameChannel> channel = Option.none();
     private Option<CycleHandler> handler = Option.none();
     private Option<ClientAccountId> account = Option.none();
@@ -105,14 +114,22 @@
     }
 
     /**
-     * Sends all or part of a cycle.
+     * Sends all or part of a cycle, behind a mark that its answer repeats.
      *
      * @param frames the encoded frames
      * @param newHandler receives the answer
      */
     void run(byte[] frames, CycleHandler newHandler) {
         handler = Option.some(newHandler);
-        channel.get().send(frames);
+        byte[] marked = mark.next(frames);
+        answers.markSent(mark.description());
+        expectAnswers(ByteBuffer.wrap(frames));
+        channel.get().send(marked);
+    }
+
+    /** Ends a copy that the endpoint has started; the refusal answers no frame of its own. */
+    void refuseCopy(byte[] copyFail) {
+        channel.get().send(copyFail);
     }
 
     /**
@@ -154,11 +171,22 @@
         if (closed) {
             return;
         }
-        if (ready) {
-            deliver(frames);
-            return;
+        List<Frame> answer = new ArrayList<>();
+        for (Frame frame : frames) {
+            if (closed) {
+                return;
+            }
+            if (!ready) {
+                handleLoginFrame(frame);
+            } else if (fits(frame, answer) && frame.is('Z')) {
+                // What follows in the same packet answers another cycle, or none.
+                deliver(answer);
+                answer = new ArrayList<>();
+            }
+        }
+        if (!closed && !answer.isEmpty()) {
+            deliver(answer);
         }
-        frames.forEach(this::handleLoginFrame);
     }
 
     @Override
@@ -183,14 +211,35 @@
     }
 
     private void deliver(List<Frame> frames) {
-        frames.forEach(this::recordAppliedPosition);
-        if (handler.isDefined()) {
-            handler.get().framesReceived(frames);
-            return;
-        }
-        // An answer outside a cycle is late or belongs to another; only notices and parameters may come unsolicited.
-        if (!frames.stream().allMatch(f -> f.is('S') || f.is('N'))) {
+        handler.forEach(h -> h.framesReceived(List.copyOf(frames)));
+    }
+
+    /** Adds a frame to the answer of the running cycle; closes the connection if the frame does not belong to it. */
+    private boolean fits(Frame frame, List<Frame> answer) {
+        AnswerSequence.Verdict verdict = answers.received((char) frame.type(), frame.body());
+        if (verdict == AnswerSequence.Verdict.OUT_OF_STEP || !recordPosition(frame)) {
+            LOG.warn(
+                    "event=endpoint_out_of_step endpoint={} user={} frame={} running={}",
+                    spec.endpoint().id(),
+                    spec.user(),
+                    (char) frame.type(),
+                    handler.isDefined());
             closed();
+            return false;
+        }
+        if (verdict == AnswerSequence.Verdict.ANSWER && handler.isDefined()) {
+            answer.add(frame);
+        }
+        return true;
+    }
+
+    private void expectAnswers(ByteBuffer frames) {
+        while (frames.remaining() >= FRAME_HEADER_BYTES) {
+            char type = (char) frames.get();
+            int bodyBytes = frames.getInt() - Integer.BYTES;
+            boolean ofStatement = bodyBytes > 0 && frames.get(frames.position()) == 'S';
+            answers.sent(type, ofStatement);
+            frames.position(frames.position() + bodyBytes);
         }
     }
 
@@ -213,7 +262,7 @@
         }
         switch ((char) frame.type()) {
             case 'R' -> authenticate(new BodyReader(frame.body()).readInt());
-            case 'S' -> recordAppliedPosition(frame);
+            case 'S' -> recordApplied(frame);
             case 'K' -> readKeyData(new BodyReader(frame.body()));
             case 'E' -> {
                 loginSqlState = BackendFrames.parseError(frame)
@@ -244,14 +293,30 @@
         secretKey = body.readInt();
     }
 
-    private void recordAppliedPosition(Frame frame) {
-        if (frame.is('S')) {
-            BackendFrames.parseParameterStatus(frame)
-                    .toOption()
-                    .filter(p -> p.name().equals(EndpointParameters.APPLIED))
-                    .flatMap(p -> EndpointParameters.position(p.value()))
-                    .forEach(p -> applied = Option.some(p));
+    /** Records a reported log position. Returns false if no position may be reported now. */
+    private boolean recordPosition(Frame frame) {
+        if (!frame.is('S')) {
+            return true;
+        }
+        Option<BackendFrames.Parameter> position = BackendFrames.parseParameterStatus(frame)
+                .toOption()
+                .filter(p -> p.name().startsWith(EndpointParameters.PREFIX));
+        if (position.isEmpty()) {
+            return true;
         }
+        recordApplied(frame);
+        return answers.mayReportPositions()
+                && position.filter(p -> p.name().equals(EndpointParameters.COMMIT))
+                        .flatMap(p -> EndpointParameters.position(p.value()))
+                        .forAll(answers::commitReported);
+    }
+
+    private void recordApplied(Frame frame) {
+        BackendFrames.parseParameterStatus(frame)
+                .toOption()
+                .filter(p -> p.name().equals(EndpointParameters.APPLIED))
+                .flatMap(p -> EndpointParameters.position(p.value()))
+                .forEach(p -> applied = Option.some(p));
     }
 
     /** Receives changes in the state of a connection from the component that opened it. */
