PostgreSQL engine: read every field of an endpoint's frames before a cycle or a login takes the frame

Seen by fuzzing: a CommandComplete without the zero byte that ends its tag, and a BackendKeyData or Authentication frame that is too short, threw BufferUnderflowException on the decision thread. The cycle neither ended nor was lost, so its caller waited for the deadline and one of the few statement slots of the endpoint stayed taken.

Cause: three readers of endpoint frames read the body without a check.

Change: wire reads these bodies to an Either, as it does the others; a frame that cannot be read counts as out of step: the connection is closed and what runs on it is unknown.

Ruled out: a catch around the handler. It would hide faults of the handler itself and leave the cycle in an unknown state.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/CycleRun.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/CycleRun.java
@@ -132,7 +132,7 @@
     }
 
     private void handleCommandComplete(Frame frame) {
-        String tag = new BodyReader(frame.body()).readString();
+        String tag = BackendFrames.parseCommandComplete(frame).getOrElse("");
         commandCompleted = true;
         // Before Sync, only an explicit COMMIT acknowledges anything.
         answerHeld |= !open || tag.equals("COMMIT");
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointConnection.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointConnection.java
@@ -16,7 +16,6 @@
 import org.hyssopswitch.proxy.net.FrameListener;
 import org.hyssopswitch.proxy.net.FrameNetwork;
 import org.hyssopswitch.wire.BackendFrames;
-import org.hyssopswitch.wire.BodyReader;
 import org.hyssopswitch.wire.Frame;
 import org.hyssopswitch.wire.FrontendFrames;
 import org.hyssopswitch.wire.WireFailure;
@@ -42,6 +41,8 @@
     private String loginSqlState = "";
     private int processId;
     private int secretKey;
+    private boolean passwordSent;
+    private boolean authenticated;
     private boolean ready;
     private boolean stateChanged;
     private boolean cancelRequested;
@@ -217,14 +218,8 @@
     /** Adds a frame to the answer of the running cycle; closes the connection if the frame does not belong to it. */
     private boolean fits(Frame frame, List<Frame> answer) {
         AnswerSequence.Verdict verdict = answers.received((char) frame.type(), frame.body());
-        if (verdict == AnswerSequence.Verdict.OUT_OF_STEP || !recordPosition(frame)) {
-            LOG.warn(
-                    "event=endpoint_out_of_step endpoint={} user={} frame={} running={}",
-                    spec.endpoint().id(),
-                    spec.user(),
-                    (char) frame.type(),
-                    handler.isDefined());
-            closed();
+        if (verdict == AnswerSequence.Verdict.OUT_OF_STEP || !isReadable(frame) || !recordPosition(frame)) {
+            outOfStep(frame);
             return false;
         }
         if (verdict == AnswerSequence.Verdict.ANSWER && handler.isDefined()) {
@@ -233,6 +228,27 @@
         return true;
     }
 
+    private void outOfStep(Frame frame) {
+        LOG.warn(
+                "event=endpoint_out_of_step endpoint={} user={} frame_type={} ready={} running={}",
+                spec.endpoint().id(),
+                spec.user(),
+                frame.type(),
+                ready,
+                handler.isDefined());
+        closed();
+    }
+
+    /** Whether the fields that homes read are whole; a handler may rely on it. */
+    private static boolean isReadable(Frame frame) {
+        return switch ((char) frame.type()) {
+            case 'C' -> BackendFrames.parseCommandComplete(frame).isRight();
+            case 'E' -> BackendFrames.parseError(frame).isRight();
+            case 'S' -> BackendFrames.parseParameterStatus(frame).isRight();
+            default -> true;
+        };
+    }
+
     private void expectAnswers(ByteBuffer frames) {
         while (frames.remaining() >= FRAME_HEADER_BYTES) {
             char type = (char) frames.get();
@@ -261,9 +277,10 @@
             return;
         }
         switch ((char) frame.type()) {
-            case 'R' -> authenticate(new BodyReader(frame.body()).readInt());
+            case 'R' -> authenticate(frame);
             case 'S' -> recordApplied(frame);
-            case 'K' -> readKeyData(new BodyReader(frame.body()));
+            case 'K' ->
+                BackendFrames.parseKeyData(frame).peek(this::recordKeyData).peekLeft(f -> outOfStep(frame));
             case 'E' -> {
                 loginSqlState = BackendFrames.parseError(frame)
                         .map(BackendFrames.ErrorReport::sqlState)
@@ -271,8 +288,12 @@
                 closed();
             }
             case 'Z' -> {
-                ready = true;
-                owner.opened(this);
+                if (authenticated) {
+                    ready = true;
+                    owner.opened(this);
+                } else {
+                    outOfStep(frame);
+                }
             }
             default -> {
                 // Notices are ignored during login.
@@ -280,17 +301,22 @@
         }
     }
 
-    private void authenticate(int code) {
-        if (code == AUTHENTICATION_CLEARTEXT) {
+    /** An endpoint asks for the password once, and for nothing after it has accepted the login. */
+    private void authenticate(Frame frame) {
+        int code = BackendFrames.parseAuthentication(frame).getOrElse(-1);
+        if (code == AUTHENTICATION_CLEARTEXT && !passwordSent && !authenticated) {
+            passwordSent = true;
             channel.get().send(FrontendFrames.password(spec.user().password()).encode());
-        } else if (code != AUTHENTICATION_OK) {
-            closed();
+        } else if (code == AUTHENTICATION_OK && !authenticated) {
+            authenticated = true;
+        } else {
+            outOfStep(frame);
         }
     }
 
-    private void readKeyData(BodyReader body) {
-        processId = body.readInt();
-        secretKey = body.readInt();
+    private void recordKeyData(BackendFrames.KeyData key) {
+        processId = key.process();
+        secretKey = key.secret();
     }
 
     /** Records a reported log position. Returns false if no position may be reported now. */
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/FakeEndpoint.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/FakeEndpoint.java
@@ -58,6 +58,10 @@
         listener.framesReceived(frames);
     }
 
+    int sentCount() {
+        return sent.size();
+    }
+
     boolean isClosed() {
         return closed;
     }
--- a/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
+++ b/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
@@ -196,6 +196,33 @@
         return read(frame, BackendFrames::errorReport);
     }
 
+    /**
+     * The command tag of a CommandComplete frame.
+     *
+     * @param frame the frame
+     */
+    public static Either<WireFailure, String> parseCommandComplete(Frame frame) {
+        return read(frame, BodyReader::readString);
+    }
+
+    /**
+     * The request of an Authentication frame: 0 when the login has succeeded.
+     *
+     * @param frame the frame
+     */
+    public static Either<WireFailure, Integer> parseAuthentication(Frame frame) {
+        return read(frame, BodyReader::readInt);
+    }
+
+    /**
+     * The numbers of a BackendKeyData frame.
+     *
+     * @param frame the frame
+     */
+    public static Either<WireFailure, KeyData> parseKeyData(Frame frame) {
+        return read(frame, body -> new KeyData(body.readInt(), body.readInt()));
+    }
+
     /**
      * The transaction status of a ReadyForQuery frame.
      *
@@ -254,6 +281,14 @@
      */
     public record Parameter(String name, String value) {}
 
+    /**
+     * The numbers that a cancel request must present.
+     *
+     * @param process process number
+     * @param secret secret
+     */
+    public record KeyData(int process, int secret) {}
+
     /**
      * The fields of an error that routing needs.
      *
--- a/hyssopswitch-wire/src/test/java/org/hyssopswitch/wire/FrameDecoderTests.java
+++ b/hyssopswitch-wire/src/test/java/org/hyssopswitch/wire/FrameDecoderTests.java
@@ -117,6 +117,9 @@
         assertTypedResult(BackendFrames.parseError(Frame.of('E', body)));
         assertTypedResult(BackendFrames.parseParameterStatus(Frame.of('S', body)));
         assertTypedResult(BackendFrames.parseReady(Frame.of('Z', body)));
+        assertTypedResult(BackendFrames.parseCommandComplete(Frame.of('C', body)));
+        assertTypedResult(BackendFrames.parseAuthentication(Frame.of('R', body)));
+        assertTypedResult(BackendFrames.parseKeyData(Frame.of('K', body)));
     }
 
     @Test
