PostgreSQL engine: report no write as not run after an attempt that may have run

Seen: a write on a route declared as repeatable, whose first attempt was lost with its outcome unknown, was refused as not run (57P03, 53000 or 57014) when no endpoint was found for the repetition, when the repetition met a full queue, or when the caller cancelled between two attempts. The first attempt may have run.

Cause: CycleDriver looked at the current attempt only.

Change: it remembers that an attempt of a write ended without an answer. From then on a refusal that says "not run" becomes 08007 with the refusal in its text. Reads keep their refusals, since they have no effect.

Measured: CycleOutcomeTests on the code before: 3 of 4 fail (expected 08007, was 57P03, 53000 and 57014); the fourth checks that refusals that are true stay. With the change all 4 pass.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/entry/CycleDriver.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.hyssopswitch.core.configuration.EndpointDeclaration;
 import org.hyssopswitch.core.configuration.RouteDeclaration;
+import org.hyssopswitch.core.failure.Execution;
 import org.hyssopswitch.core.failure.Refusal;
 import org.hyssopswitch.core.identity.EndpointId;
 import org.hyssopswitch.core.identity.VmAddress;
@@ -45,6 +46,7 @@
     private boolean confirm;
     private boolean answered;
     private boolean extended;
+    private boolean mayHaveRun;
     private long admissionMillis = -1;
     private boolean ended;
     private int attempts;
@@ -331,6 +333,7 @@
         if (repeatable && decision instanceof RetryDecision.Retry retry) {
             stream.forEach(s -> tried.add(s.endpoint()));
             stream = Option.none();
+            mayHaveRun |= !route.read();
             failedMillis = context.nowMillis();
             context.metrics().retried();
             context.loop().schedule(retry.delayMillis(), this::attempt);
@@ -349,7 +352,8 @@
     }
 
     /** The refused start of a transaction ends the session, because what the caller has sent behind it must not run. */
-    private void refuse(Refusal refusal) {
+    private void refuse(Refusal cause) {
+        Refusal refusal = truthful(cause);
         if (!pinned && TransactionStart.matches(frames, session.statements())) {
             end(() -> session.endFatal(refusal));
             return;
@@ -359,6 +363,15 @@
         end(() -> session.refuse(refusal, open, inTransaction));
     }
 
+    /** No refusal may say that a write has not run when an earlier attempt of it may have. */
+    private Refusal truthful(Refusal refusal) {
+        boolean untrue = mayHaveRun && refusal.execution() == Execution.NOT_RUN;
+        return untrue
+                ? new Refusal.OutcomeUnknown(
+                        session.database(), "an earlier attempt may have run; " + refusal.describe())
+                : refusal;
+    }
+
     /** A home that is cut off without a word gives no answer; whatever it runs is rolled back when it can be told. */
     private void timedOut() {
         if (ended) {
