--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/control/ControlServers.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/control/ControlServers.java
@@ -45,6 +45,10 @@
         post(operations, "lag", p -> faults.setLagMillis(p.endpoint(), p.number(MILLIS)));
         post(operations, "slow", p -> faults.setSlowMillis(p.endpoint(), p.number(MILLIS)));
         post(operations, "service", p -> faults.setServiceMicros(p.endpoint(), p.number("micros")));
+        post(
+                operations,
+                "repeat",
+                p -> faults.repeatAnswers(p.endpoint(), Math.toIntExact(p.number("count")), p.number(MILLIS)));
         return new ControlServer(port, operations);
     }
 
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/FaultTable.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/FaultTable.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.hyssopswitch.core.identity.EndpointId;
 
@@ -18,6 +19,7 @@
     private final Map<EndpointId, Long> lagMillis = new HashMap<>();
     private final Map<EndpointId, Long> slowMillis = new HashMap<>();
     private final Map<EndpointId, Long> serviceMicros = new HashMap<>();
+    private final Map<EndpointId, Repetition> repetitions = new HashMap<>();
     private final GroupSettings settings;
 
     FaultTable(GroupSettings settings) {
@@ -86,4 +88,20 @@
     long serviceMicros(EndpointId endpoint) {
         return serviceMicros.getOrDefault(endpoint, settings.serviceMicros());
     }
+
+    void repeatAnswers(EndpointId endpoint, int count, long lateMillis) {
+        repetitions.put(endpoint, new Repetition(count, lateMillis));
+    }
+
+    /** Takes the delay after which the next answer is sent again; empty if it is sent once. */
+    OptionalLong takeRepetition(EndpointId endpoint) {
+        Repetition left = repetitions.get(endpoint);
+        if (left == null || left.count() == 0) {
+            return OptionalLong.empty();
+        }
+        repetitions.put(endpoint, new Repetition(left.count() - 1, left.lateMillis()));
+        return OptionalLong.of(left.lateMillis());
+    }
+
+    private record Repetition(int count, long lateMillis) {}
 }
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/GroupFaults.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/GroupFaults.java
@@ -134,6 +134,21 @@
         apply("service", () -> table.setServiceMicros(endpoint, micros));
     }
 
+    /**
+     * Sends the next answers of an endpoint twice, the second time late and on the same connection. An answer is all
+     * that is sent for one Query or Sync, for what precedes one Flush, or at the end of a login.
+     *
+     * @param endpoint the endpoint
+     * @param count number of answers, 0 or more
+     * @param lateMillis milliseconds between an answer and its repetition, 0 or more
+     */
+    public void repeatAnswers(EndpointId endpoint, int count, long lateMillis) {
+        server(endpoint);
+        requireNotNegative("count", count);
+        requireNotNegative("delay", lateMillis);
+        apply("repeat", () -> table.repeatAnswers(endpoint, count, lateMillis));
+    }
+
     private void apply(String fault, Runnable change) {
         LOG.info("event=fault_set fault={}", fault);
         thread.call(() -> {
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/QueryProtocol.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/QueryProtocol.java
@@ -92,7 +92,11 @@
             output.add(BackendFrames.parameterStatus("hyssop.applied", applied.toString()));
         }
         output.add(BackendFrames.readyForQuery(transaction.status()));
-        output.flush();
+        flush();
+    }
+
+    private void flush() {
+        runtime.faults().takeRepetition(runtime.endpoint().id()).ifPresentOrElse(output::flushTwice, output::flush);
     }
 
     private void dispatch(Frame frame) {
@@ -113,7 +117,7 @@
                 prepared.close(body);
                 output.add(BackendFrames.empty('3'));
             }
-            case 'H' -> output.flush();
+            case 'H' -> flush();
             case 'S' -> sync();
             default ->
                 throw new SqlException(SqlError.PROTOCOL_VIOLATION, "unexpected frame of type " + (char) frame.type());
--- a/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/SessionOutput.java
+++ b/hyssopswitch-standin/src/main/java/org/hyssopswitch/standin/group/SessionOutput.java
@@ -19,6 +19,7 @@
     private final Deque<Chunk> chunks = new ArrayDeque<>();
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private long lastDueNanos;
+    private boolean closed;
 
     SessionOutput(GroupThread thread, ByteSink sink, BooleanSupplier blocked, LongSupplier slowMillis) {
         this.thread = thread;
@@ -40,8 +41,20 @@
         enqueue(false);
     }
 
+    /**
+     * Sends what is collected, and sends it once more later.
+     *
+     * @param lateMillis milliseconds between the two
+     */
+    void flushTwice(long lateMillis) {
+        byte[] answer = pending.toByteArray();
+        enqueue(false);
+        thread.schedule(() -> repeat(answer), lateMillis * NANOS_PER_MILLI);
+    }
+
     /** Sends what is collected and closes the connection. */
     void close() {
+        closed = true;
         enqueue(true);
     }
 
@@ -58,6 +71,13 @@
         }
     }
 
+    private void repeat(byte[] answer) {
+        if (!closed) {
+            chunks.add(new Chunk(answer, thread.nowNanos(), false));
+            drain();
+        }
+    }
+
     private void enqueue(boolean last) {
         long delayNanos = slowMillis.getAsLong() * NANOS_PER_MILLI;
         long now = thread.nowNanos();
