Use the log position of a transaction start once a next reply confirms it

Cause: the reply to the start of a read-write transaction proves that an endpoint is the primary and gives its log position. A repeated reply to an earlier start passes for the fresh one, so an old position was taken for one asked for now: reads at replicas could then be older than their route allows, and an endpoint that had lost its role could be taken for the primary again.

Change: statements and transactions report such a position when the next reply on the connection is a success in step; the primary sampler uses it, also for other VMs, when its rollback is answered and nothing was repeated meanwhile, and otherwise samples again. After a repeat the true reply to the start comes next and is recognised as surplus. A sample is known one round trip later; its age still counts from when it was asked for.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -34,6 +34,7 @@
     private long stateSinceMillis;
     private boolean repeatLogged;
     private boolean outOfStep;
+    private Option<PrimarySample> unconfirmed = Option.none();
 
     PooledConnection(EndpointPool pool, Account account, long nowMillis) {
         this.pool = pool;
@@ -104,6 +105,17 @@
         pool.callbacks().primaryConfirmed(pool.endpoint().id(), askedMillis, position);
     }
 
+    /**
+     * Reports a log position from the reply to the start of a transaction once the next reply confirms that it was not a
+     * repeat: after a repeat, the true reply comes next and is out of step.
+     *
+     * @param askedMillis time at which the command was sent, milliseconds of the monotonic clock
+     * @param position the position
+     */
+    public void reportPrimaryOnceConfirmed(long askedMillis, LogPosition position) {
+        unconfirmed = Option.some(new PrimarySample(askedMillis, position));
+    }
+
     /** Reports that the endpoint refused a command because it is not the primary. */
     public void reportNotPrimary() {
         pool.callbacks().notPrimary(pool.endpoint().id());
@@ -221,6 +233,11 @@
         return state == State.IDLE;
     }
 
+    /** Whether the connection serves no further operation, for example because a reply on it was repeated. */
+    boolean retiring() {
+        return replies.retiring();
+    }
+
     boolean opening() {
         return state == State.OPENING;
     }
@@ -257,6 +274,9 @@
         if (answered.measured()) {
             pool.recordServiceTime(pool.nowMillis() - answered.sentMillis());
         }
+        Option<PrimarySample> confirmed = reply.succeeded() ? unconfirmed : Option.none();
+        unconfirmed = Option.none();
+        confirmed.forEach(sample -> reportPrimary(sample.askedMillis(), sample.position()));
         answered.handler().replied(reply);
         completeReturn();
     }
@@ -265,6 +285,7 @@
     private void repeated(String awaited) {
         pool.recordReplyRepeated(awaited, !repeatLogged, ageMillis());
         repeatLogged = true;
+        unconfirmed = Option.none();
         replies.retire();
         if (state == State.IDLE) {
             retire();
@@ -326,6 +347,9 @@
         CLOSED
     }
 
+    /** A log position of the primary, from a reply that may be a repeat. */
+    private record PrimarySample(long askedMillis, LogPosition position) {}
+
     private record PendingCommand(ReplyHandler handler, long sentMillis, boolean measured) {
 
         /** Time for the answer to a command that does no work, milliseconds. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PrimarySampler.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PrimarySampler.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
@@ -61,17 +62,25 @@
         });
     }
 
-    private record SampleReply(PooledConnection connection, long askedMillis, List<PositionListener> notified)
-            implements ReplyHandler {
+    private final class SampleReply implements ReplyHandler {
+
+        private final PooledConnection connection;
+        private final long askedMillis;
+        private final List<PositionListener> notified;
+
+        SampleReply(PooledConnection connection, long askedMillis, List<PositionListener> notified) {
+            this.connection = connection;
+            this.askedMillis = askedMillis;
+            this.notified = notified;
+        }
 
         @Override
         public void replied(Reply reply) {
             if (reply.succeeded()) {
-                reply.position().forEach(position -> {
-                    connection.reportPrimary(askedMillis, position);
-                    notified.forEach(listener -> listener.primaryConfirmed(position));
-                });
-                connection.send(new EndpointCommand.Rollback(), ReplyHandler.NONE);
+                ReplyHandler handler = reply.position()
+                        .map(position -> (ReplyHandler) new EndReply(this, position))
+                        .getOrElse(ReplyHandler.NONE);
+                connection.send(new EndpointCommand.Rollback(), handler);
             } else if (reply.error().contains(ErrorCode.READ_ONLY)) {
                 connection.reportNotPrimary();
                 notified.forEach(PositionListener::notPrimary);
@@ -83,5 +92,37 @@
         public void connectionLost() {
             // The pool handles the lost connection, and listeners query again.
         }
+
+        private void confirmed(LogPosition position) {
+            connection.reportPrimary(askedMillis, position);
+            notified.forEach(listener -> listener.primaryConfirmed(position));
+        }
+    }
+
+    /** Uses the sample if the reply to the rollback shows that the one to the start of the transaction was no repeat. */
+    private final class EndReply implements ReplyHandler {
+
+        private final SampleReply sample;
+        private final LogPosition position;
+
+        EndReply(SampleReply sample, LogPosition position) {
+            this.sample = sample;
+            this.position = position;
+        }
+
+        @Override
+        public void replied(Reply reply) {
+            if (reply.succeeded() && !sample.connection.retiring()) {
+                sample.confirmed(position);
+            } else {
+                // The next tick queries again.
+                listeners.addAll(sample.notified);
+            }
+        }
+
+        @Override
+        public void connectionLost() {
+            // The pool handles the lost connection, and listeners query again.
+        }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
@@ -222,7 +222,7 @@
                 handleError(connection, error.code(), error.text());
                 return;
             }
-            reply.position().forEach(position -> connection.reportPrimary(sentMillis, position));
+            reply.position().forEach(position -> connection.reportPrimaryOnceConfirmed(sentMillis, position));
             connection.send(statement.command(Option.none()), new StatementHandler(connection, true));
         }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -252,7 +252,7 @@
                 return;
             }
             if (primaryCheck) {
-                reply.position().forEach(position -> pooled.reportPrimary(sentMillis, position));
+                reply.position().forEach(position -> pooled.reportPrimaryOnceConfirmed(sentMillis, position));
             }
             pooled.send(currentStatement.get().command(Option.none()), new StatementHandler(pooled));
         }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedReplyTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedReplyTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.statement.CallerStatement;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
@@ -149,6 +150,22 @@
         assertEquals(0, pool.counter("endpoint_replies.out_of_step"));
     }
 
+    /** Guards against stale reads: an old log position of the primary that is taken for the one asked for. */
+    @Test
+    void doesNotTakeThePositionOfARepeatedTransactionStart() {
+        FakeCaller caller = pool.connectCaller(TestPool.LATEST);
+        pool.endpoint("e1").repeatRepliesTo(EndpointCommand.Begin.class::isInstance);
+        caller.read("r1");
+        pool.advance(1_000);
+        assertEquals(1, pool.endpoint("e1").openConnections());
+        pool.endpoint("e1").setPosition(new LogPosition(1, 500));
+        List<LogPosition> answers = new ArrayList<>();
+        pool.group().queryPosition("e1", new RecordingPositionListener(answers));
+        pool.endpoint("e1").sendRepeats();
+        pool.advance(500);
+        assertEquals(List.of(new LogPosition(1, 500)), answers);
+    }
+
     /** Guards against any phase of a connection in which a repeated reply gives a caller a foreign or false answer. */
     @Property(tries = 60, seed = "40")
     void givesEachCallerItsOwnAnswersWhileEndpointsRepeatAnyReply(@ForAll long seed) {
@@ -186,6 +203,24 @@
         return signature.startsWith("signed.") ? signature.split("\\.", -1)[2] : signature;
     }
 
+    private record RecordingPositionListener(List<LogPosition> answers) implements PositionListener {
+
+        @Override
+        public void primaryConfirmed(LogPosition position) {
+            answers.add(position);
+        }
+
+        @Override
+        public void notPrimary() {
+            throw new AssertionError("the endpoint is the primary");
+        }
+
+        @Override
+        public void unreachable() {
+            throw new AssertionError("the endpoint is reachable");
+        }
+    }
+
     /** A caller with the identifiers of the statements that it has sent, which are answered in order. */
     private static final class Session {
 
