Check that no write outside its transaction is promised to have had no effect

The property over random sessions and repeated replies now also refuses some starts of transactions, lets them take longer, and checks that no transaction of which a write was kept on its own ends with a promise or a commit. It runs 300 cases instead of 60.

--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedReplyTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedReplyTests.java
@@ -7,10 +7,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hyssopswitch.core.position.LogPosition;
@@ -167,12 +170,13 @@
     }
 
     /** Guards against any phase of a connection in which a repeated reply gives a caller a foreign or false answer. */
-    @Property(tries = 60, seed = "40")
+    @Property(tries = 300, seed = "40")
     void givesEachCallerItsOwnAnswersWhileEndpointsRepeatAnyReply(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         TestPool stuttering = new TestPool(CONNECTIONS, VMS);
         List.of("e1", "e2", "e3").forEach(id -> stuttering.endpoint(id).stutter(random.split(), 0.1, 100));
         stuttering.endpoint("e1").setWorkMillis(random.nextInt(15));
+        stuttering.endpoint("e1").setStartMillis(random.nextInt(30));
         List<Session> sessions = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             String key = i % 2 == 0 ? TestPool.KEY : "other-key";
@@ -182,6 +186,7 @@
         for (int step = 0; step < 150; step++) {
             sessions.get(random.nextInt(sessions.size())).sendNext(random);
             stuttering.endpoint("e1").setOverloaded(random.nextInt(20) == 0);
+            stuttering.endpoint("e1").setRefusesTransactions(random.nextInt(3) == 0);
             stuttering.advance(random.nextInt(12));
         }
         stuttering.advance(3_000);
@@ -189,6 +194,7 @@
         List.of("e1", "e2", "e3")
                 .forEach(id -> executed.addAll(stuttering.endpoint(id).executedStatements()));
         sessions.forEach(session -> session.check(executed));
+        sessions.forEach(session -> session.checkTransactions(stuttering.endpoint("e1")::executedAlone));
         assertTrue(stuttering.counter("endpoint_replies.repeated") > 0, "the endpoints must have repeated replies");
     }
 
@@ -228,7 +234,10 @@
         private final String prefix;
         private final List<String> ids = new ArrayList<>();
         private final Map<String, Boolean> autocommitWrites = new HashMap<>();
+        private final Set<String> writes = new HashSet<>();
+        private final Map<String, Integer> transactionOf = new HashMap<>();
         private boolean inTransaction;
+        private int transactions;
         private int value;
 
         Session(FakeCaller caller, String prefix) {
@@ -249,6 +258,7 @@
                 case 5 -> execute(id);
                 default -> {
                     autocommitWrites.put(id, !inTransaction);
+                    writes.add(id);
                     send(id, new CallerStatement.Write("WRITE a x"));
                 }
             }
@@ -262,6 +272,24 @@
             }
         }
 
+        /** Checks that no transaction ends with a promise or a commit of which a write was kept on its own. */
+        void checkTransactions(Predicate<String> executedAlone) {
+            List<Reply> replies = caller.replies();
+            transactionOf.forEach((id, transaction) -> {
+                if (writes.contains(id) && executedAlone.test(id)) {
+                    transactionOf.forEach((other, same) -> {
+                        Reply reply = replies.get(ids.indexOf(other));
+                        boolean promise = reply.error().exists(ErrorCode::guaranteesNoEffect);
+                        boolean signed =
+                                reply.succeeded() && !signedStatement(reply).equals("-");
+                        assertFalse(
+                                same.equals(transaction) && (promise || signed),
+                                id + " was kept on its own, but " + other + " was answered with " + reply);
+                    });
+                }
+            });
+        }
+
         private void checkReply(String id, Reply reply, List<String> executed) {
             if (reply.succeeded()) {
                 assertTrue(List.of("-", id).contains(signedStatement(reply)), id + " was answered with " + reply);
@@ -280,6 +308,7 @@
 
         private void beginOrCommit(String id) {
             send(id, inTransaction ? new CallerStatement.Commit("COMMIT") : new CallerStatement.Begin(false));
+            transactions++;
             inTransaction = !inTransaction;
         }
 
@@ -295,6 +324,9 @@
 
         private void send(String id, CallerStatement statement) {
             ids.add(id);
+            if (inTransaction) {
+                transactionOf.put(id, transactions);
+            }
             caller.send(id, statement);
         }
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -41,6 +41,7 @@
     private boolean unresponsive;
     private boolean overloaded;
     private long workMillis;
+    private long startMillis;
     private LogPosition position = new LogPosition(1, 10);
     private int openedConnections;
     private int connectAttempts;
@@ -49,6 +50,7 @@
     private int rejectedConnections;
     private Predicate<EndpointCommand> repeated = command -> false;
     private final List<Runnable> repeats = new ArrayList<>();
+    private final Set<String> executedAlone = new HashSet<>();
     private int unansweredCommands;
     private boolean repeatsOpenings;
     private boolean refusesTransactions;
@@ -82,6 +84,11 @@
         return List.copyOf(executedStatements);
     }
 
+    /** Whether a statement was executed outside a transaction, so that its effect was kept at once. */
+    public boolean executedAlone(String statementId) {
+        return executedAlone.contains(statementId);
+    }
+
     /** Returns the session values under which a statement was executed. */
     public Map<String, String> sessionValues(String statementId) {
         return valuesByStatement.get(statementId);
@@ -130,6 +137,11 @@
         workMillis = millis;
     }
 
+    /** Sets the time that the start of a transaction takes, milliseconds. */
+    public void setStartMillis(long millis) {
+        startMillis = millis;
+    }
+
     /** Refuses reads and writes as overloaded. */
     public void setOverloaded(boolean refuse) {
         overloaded = refuse;
@@ -286,7 +298,8 @@
                         command instanceof EndpointCommand.Forward || command instanceof EndpointCommand.Execute;
                 freeAtMillis = Math.max(freeAtMillis, loop.nowMillis())
                         + REPLY_DELAY_MILLIS
-                        + (runsStatement ? workMillis : 0);
+                        + (runsStatement ? workMillis : 0)
+                        + (command instanceof EndpointCommand.Begin ? startMillis : 0);
                 unansweredCommands++;
                 loop.schedule(freeAtMillis - loop.nowMillis(), () -> {
                     unansweredCommands--;
@@ -405,6 +418,9 @@
                 return failed(ErrorCode.LAGGING);
             }
             executedStatements.add(statementId);
+            if (!open) {
+                executedAlone.add(statementId);
+            }
             valuesByStatement.put(statementId, Map.copyOf(values));
             wrote |= write;
             if (text.startsWith("COMMIT") || (write && !open)) {
