PostgreSQL engine: let no older status reply set an endpoint's position back

By reading, the write had not been sent, so "not run" was true, but the refusal was needless: every status reply replaced what the home knew, also one that the endpoint had given before the position that the session's last write reported on another connection. The next write of that session had a floor that the home took for not reached and was sent back as not covered, until the next status reply, or until its deadline where the endpoint had stopped answering.

Change: ObservedStatus in core.position counts the reported positions. A reply to a call that was sent before the last report keeps the later position of the same term; a reply to a later call replaces it.

--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/EndpointHome.java
@@ -16,6 +16,7 @@
 import org.hyssopswitch.core.identity.VmAddress;
 import org.hyssopswitch.core.position.EndpointStatus;
 import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.core.position.ObservedStatus;
 import org.hyssopswitch.proxy.forward.AnswerState;
 import org.hyssopswitch.proxy.forward.Confirmation;
 import org.hyssopswitch.proxy.forward.ContinueCycle;
@@ -41,7 +42,7 @@
     private final Queue<HomeStream> pinned = new ArrayDeque<>();
     private final List<HomeStream> awaitingConnection = new ArrayList<>();
     private final ConnectionPool pool;
-    private Option<EndpointStatus> status = Option.none();
+    private final ObservedStatus status = new ObservedStatus();
     private int slots = 1;
     private int running;
 
@@ -76,9 +77,19 @@
         pool.resize(connections, Math.min(newSlots, connections));
     }
 
-    /** Updates the status that the endpoint last reported. */
-    void updateStatus(EndpointStatus newStatus) {
-        status = Option.some(newStatus);
+    /** Returns the number of log positions reported so far, to be presented with the reply to a call sent now. */
+    long positionReports() {
+        return status.reports();
+    }
+
+    /**
+     * Updates the status that the endpoint last reported.
+     *
+     * @param newStatus the status in the reply to a call
+     * @param reportsBefore the number of reported log positions when the call was sent
+     */
+    void updateStatus(EndpointStatus newStatus, long reportsBefore) {
+        status.replied(newStatus, reportsBefore);
     }
 
     EndpointDeclaration endpoint() {
@@ -86,7 +97,7 @@
     }
 
     HomeStatus homeStatus() {
-        return new HomeStatus(endpoint.id(), status, streams.size(), queue.size(), pool.size());
+        return new HomeStatus(endpoint.id(), status.current(), streams.size(), queue.size(), pool.size());
     }
 
     int streamCount() {
@@ -347,7 +358,7 @@
     }
 
     private boolean hasApplied(LogPosition floor) {
-        return floor.equals(LogPosition.ZERO) || status.exists(s -> s.covers(floor));
+        return floor.equals(LogPosition.ZERO) || status.current().exists(s -> s.covers(floor));
     }
 
     /** Binds the connection to the stream, resets it if another account used it last, then runs the cycle. */
@@ -402,22 +413,9 @@
         }
     }
 
-    /**
-     * Updates the applied position within the same term; a new term takes effect only with a full status of the
-     * endpoint.
-     */
     private void updateApplied(LogPosition position) {
         positionListener.accept(endpoint.id(), position);
-        status = status.map(s -> s.applied().term() == position.term() && position.compareTo(s.applied()) > 0
-                ? new EndpointStatus(
-                        s.endpoint(),
-                        s.role(),
-                        s.acceptedTerm(),
-                        position,
-                        s.termStart(),
-                        s.contactAgeMillis(),
-                        s.dataAgeMillis())
-                : s);
+        status.reported(position);
     }
 
     private void confirm(HomeStream stream, TransactionState transaction, Confirmation confirmation) {
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeService.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/HomeService.java
@@ -132,7 +132,14 @@
             answer(call, Either.left(new ControlFailure.NotHome(call.endpoint())), callback);
             return;
         }
-        connections.call(call.request(), call.timeoutMillis(), result -> answer(call, result, callback));
+        long reports = Option.of(homes.get(call.endpoint()))
+                .map(EndpointHome::positionReports)
+                .getOrElse(0L);
+        connections.call(call.request(), call.timeoutMillis(), result -> {
+            result.forEach(
+                    r -> Option.of(homes.get(call.endpoint())).forEach(h -> h.updateStatus(r.status(), reports)));
+            answer(call, result, callback);
+        });
     }
 
     /**
@@ -183,7 +190,6 @@
 
     private void answer(
             Action.CallEndpoint call, Either<ControlFailure, ControlReply> result, Consumer<Event> callback) {
-        result.forEach(r -> Option.of(homes.get(call.endpoint())).forEach(h -> h.updateStatus(r.status())));
         callback.accept(new Event.EndpointCallCompleted(call.call(), call.endpoint(), result));
     }
 
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/FakeEndpoint.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/FakeEndpoint.java
@@ -58,6 +58,11 @@
         listener.framesReceived(frames);
     }
 
+    /** Ends the connection from the endpoint's side. */
+    void breakConnection() {
+        listener.closed();
+    }
+
     int sentCount() {
         return sent.size();
     }
