PostgreSQL engine: keep the fields of an error apart when a text holds a zero byte

Found by reading: an error's fields end at a zero byte. A route name in a comment is URL-decoded, so %00 in it puts a zero byte into the text of "route unknown", and a reader takes what follows as further fields, such as another SQLSTATE. Not tried through a driver.

Change: a zero byte in a field is written as U+FFFD.

Ruled out: other callers reading it; the error goes to the connection that sent the statement only.

Measured: keepsTheFieldsOfAnErrorApart on the code before fails (expected message m\uFFFD, was m). With the change all 20 tests of FrameDecoderTests pass.

--- a/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
+++ b/hyssopswitch-wire/src/main/java/org/hyssopswitch/wire/BackendFrames.java
@@ -259,9 +259,10 @@
         return new BodyWriter().writeInt(code).writeBytes(data).toFrame('R');
     }
 
+    /** A zero byte would end the field, and what follows it would be read as further fields. */
     private static void field(BodyWriter body, char code, String value) {
         if (!value.isEmpty()) {
-            body.writeByte(code).writeString(value);
+            body.writeByte(code).writeString(value.replace('\0', '\uFFFD'));
         }
     }
 
--- a/hyssopswitch-wire/src/test/java/org/hyssopswitch/wire/FrameDecoderTests.java
+++ b/hyssopswitch-wire/src/test/java/org/hyssopswitch/wire/FrameDecoderTests.java
@@ -11,8 +11,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
@@ -136,6 +140,21 @@
                 'T', BackendFrames.parseReady(BackendFrames.readyForQuery('T')).get());
     }
 
+    /** Guards against a text with zero bytes that adds fields to an error, such as another SQLSTATE. */
+    @Property(seed = "40", tries = 300)
+    void keepsTheFieldsOfAnErrorApart(@ForAll @Size(max = 20) List<@From("pieces") String> pieces) {
+        String text = "m" + String.join("", pieces);
+        BackendFrames.ErrorReport report = BackendFrames.parseError(
+                        BackendFrames.errorResponse("ERROR", "42704", text, text, text))
+                .get();
+        assertEquals(new BackendFrames.ErrorReport("42704", text.replace('\0', '\uFFFD')), report);
+    }
+
+    @Provide
+    Arbitrary<String> pieces() {
+        return Arbitraries.of("\0", "\0C08007", "M", "'", "\n", "ã");
+    }
+
     private static void assertTypedResult(Either<WireFailure, ?> result) {
         assertTrue(result.isRight() || result.getLeft() instanceof WireFailure.BadBody);
     }
