Send a statement outside a transaction once its session is set up

A statement ran although the endpoint had refused a value or a prepared statement that it needs (PINNED): callers saw other session values or an unknown name, though both had been acknowledged to them.

Cause: PooledConnection sent SET and PREPARE and the statement behind them at once. When the reply to the former showed the refusal, the connection was closed, but outside a transaction the statement had been run by then. Inside a transaction the endpoint refuses all that follows an error.

Change: outside a transaction, a statement waits on its connection until all setup commands are confirmed, on lent connections at the lender. If one is refused, the statement was not sent and is tried elsewhere; the refusal that the caller gets in the end is true (ReplyHandler.notSent). This costs a round trip to the endpoint, only where values or a statement have to be set up.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -1,6 +1,8 @@
 package org.hyssopswitch.pool.endpoint;
 
 import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -23,6 +25,10 @@
     private final Account account;
     private final ReplySequence<PendingCommand> replies = new ReplySequence<>();
     private final ConnectionSessionState session = new ConnectionSessionState();
+
+    /** Commands that wait until the endpoint has confirmed the session state that they need. */
+    private final Deque<HeldCommand> held = new ArrayDeque<>();
+
     private final long createdMillis;
     private EndpointLink link;
     private State state = State.OPENING;
@@ -69,9 +75,11 @@
             fail(handler);
             return;
         }
-        ExpectedReply expected = ReplyFactUtils.expectedReply(command);
-        replies.sent(expected, new PendingCommand(handler, pool.nowMillis(), expected.signed()));
-        link.send(List.of(command));
+        if (awaitsSetup(command)) {
+            held.addLast(new HeldCommand(command, handler));
+        } else {
+            transmit(command, handler);
+        }
     }
 
     /** Clears the record of prepared statements and values, after the endpoint reported a statement as unknown. */
@@ -254,6 +262,29 @@
         stateSinceMillis = pool.nowMillis();
     }
 
+    /**
+     * Whether a command has to wait for the replies that set up the session. Outside a transaction an endpoint runs a
+     * statement although it has refused a value just before it.
+     */
+    private boolean awaitsSetup(EndpointCommand command) {
+        boolean statement = ReplyFactUtils.expectedReply(command).signed();
+        boolean setupUnconfirmed = replies.firstExpected().contains(ExpectedReply.SETUP);
+        return !held.isEmpty() || (statement && setupUnconfirmed && replies.status() == SessionStatus.IDLE);
+    }
+
+    private void transmit(EndpointCommand command, ReplyHandler handler) {
+        ExpectedReply expected = ReplyFactUtils.expectedReply(command);
+        replies.sent(expected, new PendingCommand(handler, pool.nowMillis(), expected.signed()));
+        link.send(List.of(command));
+    }
+
+    private void transmitHeld() {
+        while (!held.isEmpty() && state != State.CLOSED) {
+            HeldCommand next = held.removeFirst();
+            transmit(next.command(), next.handler());
+        }
+    }
+
     private void deliver(PendingCommand answered, Reply reply) {
         if (answered.measured()) {
             pool.recordServiceTime(pool.nowMillis() - answered.sentMillis());
@@ -293,7 +324,7 @@
     }
 
     private void completeReturn() {
-        if (state != State.RETURNING || !replies.isComplete()) {
+        if (state != State.RETURNING || !replies.isComplete() || !held.isEmpty()) {
             return;
         }
         if (replies.retiring()) {
@@ -312,7 +343,10 @@
     private void markClosed() {
         state = State.CLOSED;
         pool.remove(this);
+        List<HeldCommand> unsent = List.copyOf(held);
+        held.clear();
         replies.drain().forEach(one -> fail(one.handler()));
+        unsent.forEach(one -> one.handler().notSent());
     }
 
     private void fail(ReplyHandler handler) {
@@ -331,6 +365,13 @@
         CLOSED
     }
 
+    private record HeldCommand(EndpointCommand command, ReplyHandler handler) {
+
+        HeldCommand {
+            Objects.requireNonNull(handler, "a command must have a handler");
+        }
+    }
+
     /** A log position of the primary, from a reply that may be a repeat. */
     private record PrimarySample(long askedMillis, LogPosition position) {}
 
@@ -358,6 +399,8 @@
         public void replied(Reply reply) {
             if (!reply.succeeded()) {
                 discard();
+            } else if (replies.isComplete()) {
+                transmitHeld();
             }
         }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyHandler.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyHandler.java
@@ -35,4 +35,9 @@
     default void outOfStep() {
         connectionLost();
     }
+
+    /** The connection was closed before the command was sent. */
+    default void notSent() {
+        connectionLost();
+    }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
@@ -203,6 +203,11 @@
                 retryOrFail(ErrorCode.OVERLOADED, "the connection to the endpoint broke");
             }
         }
+
+        @Override
+        public void notSent() {
+            retryOrFail(ErrorCode.OVERLOADED, "the session could not be set up at the endpoint");
+        }
     }
 
     /** Handles the reply to the start of the VM's own transaction around a read. */
