--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -53,6 +53,8 @@
     private int unansweredCommands;
     private boolean repeatsOpenings;
     private boolean refusesTransactions;
+    private int valuesToRefuse;
+    private boolean runsAfterClose;
     private Option<Stutter> stutter = Option.none();
 
     /** Creates an endpoint that is running. */
@@ -230,6 +232,16 @@
         refusesTransactions = refuse;
     }
 
+    /** Runs the commands that were received before their connection was closed, as they wait in its receive buffer. */
+    public void runAfterClose() {
+        runsAfterClose = true;
+    }
+
+    /** Refuses to set the next session value as overloaded. */
+    public void refuseNextValue() {
+        valuesToRefuse = 1;
+    }
+
     /** Answers the selected commands for a second time, on the connections that are still open, and selects no more. */
     public void sendRepeats() {
         repeated = command -> false;
@@ -318,6 +330,10 @@
         }
 
         private void answer(EndpointCommand command) {
+            if (closed && runsAfterClose) {
+                run(command);
+                return;
+            }
             if (closed || !links.contains(this) || unresponsive || silent) {
                 return;
             }
@@ -379,6 +395,10 @@
                 return StatementOutcome.Success.LOCAL;
             }
             if (command instanceof EndpointCommand.SetValue set) {
+                if (valuesToRefuse > 0) {
+                    valuesToRefuse--;
+                    return failed(ErrorCode.OVERLOADED);
+                }
                 values.put(set.name(), set.value());
                 return StatementOutcome.Success.LOCAL;
             }
