Show that a read runs outside the transaction that a lagging replica refused; list it as known red

What breaks: a read of a transaction runs outside it (PINNED) and on a log that lacks the position its BEGIN required (STALE). The caller gets no rows of it: the true refusal closes the connection as out of step, but the endpoint has received the read by then.

The statement is sent on the strength of an answer that cannot be told from a repeat of an earlier one, and statements inside a transaction carry no WAITLSN of their own.

No production code changes.

--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedStartTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/RepeatedStartTests.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.hyssopswitch.core.position.LogPosition;
+import org.hyssopswitch.pool.statement.CallerStatement;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.testing.FakeCaller;
 import org.hyssopswitch.pool.testing.TestPool;
@@ -46,6 +47,34 @@
         List.of("e2", "e3").forEach(id -> assertNotRunBy(id, "r2"));
     }
 
+    /** Guards against a read outside its transaction, on a replica that refused to start it because it lags. */
+    @Tag("known-red")
+    @Test
+    void runsNoReadOfATransactionThatALaggingReplicaRefused() {
+        FakeCaller caller = pool.connectCaller(TestPool.BOUNDED);
+        caller.read("r1");
+        pool.advance(60);
+        pool.endpoint("e2").repeatRepliesTo(EndpointCommand.Begin.class::isInstance);
+        runTransaction(caller, "r2");
+        assertTrue(pool.endpoint("e2").executedStatements().contains("r2"));
+        pool.endpoint("e1").setPosition(new LogPosition(1, 30));
+        pool.advance(2 * ACCEPTED_STALENESS_MILLIS);
+        caller.send("b3", new CallerStatement.Begin(true));
+        caller.read("r3");
+        pool.endpoint("e2").runAfterClose();
+        pool.endpoint("e2").sendRepeats();
+        pool.advance(100);
+        assertNotRunBy("e2", "r3");
+    }
+
+    private void runTransaction(FakeCaller caller, String readId) {
+        caller.send("b" + readId, new CallerStatement.Begin(true));
+        caller.read(readId);
+        caller.send("c" + readId, new CallerStatement.Commit("COMMIT"));
+        pool.advance(100);
+        assertTrue(caller.lastReply().succeeded());
+    }
+
     private FakeCaller startSampling() {
         pool.endpoint("e1").repeatRepliesTo(EndpointCommand.Begin.class::isInstance);
         FakeCaller caller = pool.connectCaller(TestPool.BOUNDED);
