Use one transaction status for connections and sessions

Cause: ReplySequence brought SessionStatus into the core, a copy of pool.statement.TransactionStatus with the same three constants, and a switch that translated one into the other.

Change: TransactionStatus moves to core.connection, the copy and the translation go. Constants and their order, which messages between VMs encode, are unchanged. Behaviour stays as it is.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ExpectedReply.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ExpectedReply.java
@@ -38,10 +38,10 @@
         return rows == RowRule.ANY || (rows == RowRule.SOME) == present;
     }
 
-    SessionStatus statusAfter(SessionStatus before) {
+    TransactionStatus statusAfter(TransactionStatus before) {
         return switch (this) {
-            case TRANSACTION_START -> SessionStatus.OPEN;
-            case TRANSACTION_END, COMMIT -> SessionStatus.IDLE;
+            case TRANSACTION_START -> TransactionStatus.OPEN;
+            case TRANSACTION_END, COMMIT -> TransactionStatus.IDLE;
             default -> before;
         };
     }
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ReceivedReply.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ReceivedReply.java
@@ -11,7 +11,7 @@
  * @param rows whether the reply has rows
  * @param status transaction status afterwards
  */
-public record ReceivedReply(boolean succeeded, Option<String> signature, boolean rows, SessionStatus status) {
+public record ReceivedReply(boolean succeeded, Option<String> signature, boolean rows, TransactionStatus status) {
 
     /** Checks that only a success carries a signature. */
     public ReceivedReply {
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ReplySequence.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/ReplySequence.java
@@ -22,8 +22,8 @@
 
     private final Deque<Pending<H>> pending = new ArrayDeque<>();
     private final SignatureMemory signatures = new SignatureMemory();
-    private final Set<SessionStatus> unsignedStatuses = EnumSet.noneOf(SessionStatus.class);
-    private SessionStatus status = SessionStatus.IDLE;
+    private final Set<TransactionStatus> unsignedStatuses = EnumSet.noneOf(TransactionStatus.class);
+    private TransactionStatus status = TransactionStatus.IDLE;
     private boolean retiring;
 
     /**
@@ -62,7 +62,7 @@
     }
 
     /** Returns the transaction status after the last reply in step. */
-    public SessionStatus status() {
+    public TransactionStatus status() {
         return status;
     }
 
@@ -119,11 +119,11 @@
      * never started: its supposed start was a repeated reply, and the error answers the true one.
      */
     private ReplyVerdict<H> decideError(ExpectedReply expected, ReceivedReply reply) {
-        boolean neverStarted = status == SessionStatus.OPEN
-                && reply.status() == SessionStatus.IDLE
+        boolean neverStarted = status == TransactionStatus.OPEN
+                && reply.status() == TransactionStatus.IDLE
                 && expected != ExpectedReply.COMMIT
                 && expected != ExpectedReply.TRANSACTION_END;
-        boolean startedUnasked = status == SessionStatus.IDLE && reply.status() == SessionStatus.OPEN;
+        boolean startedUnasked = status == TransactionStatus.IDLE && reply.status() == TransactionStatus.OPEN;
         return neverStarted || startedUnasked
                 ? outOfStep("transaction_status_of_error")
                 : new ReplyVerdict.Deliver<>(pending.getFirst().handler());
--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/SessionStatus.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/connection/TransactionStatus.java
@@ -1,7 +1,7 @@
 package org.hyssopswitch.core.connection;
 
-/** Transaction status that an endpoint reports with each reply. */
-public enum SessionStatus {
+/** Transaction status of a session or a connection between statements. */
+public enum TransactionStatus {
     /** Outside a transaction. */
     IDLE,
     /** Inside a transaction. */
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/connection/ReplySequenceTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/connection/ReplySequenceTests.java
@@ -23,10 +23,10 @@
     @Test
     void dropsARepeatedAnswerToAnEarlierStatement() {
         send(ExpectedReply.STATEMENT, "first");
-        assertDelivered("first", signed("s1", SessionStatus.IDLE));
+        assertDelivered("first", signed("s1", TransactionStatus.IDLE));
         send(ExpectedReply.STATEMENT, "second");
-        assertRepeated(signed("s1", SessionStatus.IDLE));
-        assertDelivered("second", signed("s2", SessionStatus.IDLE));
+        assertRepeated(signed("s1", TransactionStatus.IDLE));
+        assertDelivered("second", signed("s2", TransactionStatus.IDLE));
         assertTrue(replies.retiring());
     }
 
@@ -34,14 +34,14 @@
     @Test
     void dropsARepeatedAnswerWithoutSignatureWhileAStatementIsAwaited() {
         send(ExpectedReply.SETUP, "set");
-        assertDelivered("set", unsigned(SessionStatus.IDLE));
+        assertDelivered("set", unsigned(TransactionStatus.IDLE));
         send(ExpectedReply.TRANSACTION_START, "begin");
-        assertRepeated(unsigned(SessionStatus.IDLE));
-        assertDelivered("begin", unsigned(SessionStatus.OPEN));
+        assertRepeated(unsigned(TransactionStatus.IDLE));
+        assertDelivered("begin", unsigned(TransactionStatus.OPEN));
         send(ExpectedReply.STATEMENT, "read");
-        assertRepeated(unsigned(SessionStatus.IDLE));
-        assertRepeated(unsigned(SessionStatus.OPEN));
-        assertDelivered("read", signed("s1", SessionStatus.OPEN));
+        assertRepeated(unsigned(TransactionStatus.IDLE));
+        assertRepeated(unsigned(TransactionStatus.OPEN));
+        assertDelivered("read", signed("s1", TransactionStatus.OPEN));
     }
 
     /** Guards against a lost reply that shifts all later ones by one command. */
@@ -49,7 +49,7 @@
     void isOutOfStepWhenTheReplyBeforeASignedOneWasLost() {
         send(ExpectedReply.SETUP, "set");
         send(ExpectedReply.STATEMENT, "read");
-        assertOutOfStep(signed("s1", SessionStatus.IDLE));
+        assertOutOfStep(signed("s1", TransactionStatus.IDLE));
         assertEquals(List.of("set", "read"), replies.drain());
     }
 
@@ -57,25 +57,25 @@
     @Test
     void isOutOfStepWhenAnErrorShowsThatTheTransactionNeverStarted() {
         send(ExpectedReply.TRANSACTION_START, "begin");
-        assertDelivered("begin", unsigned(SessionStatus.OPEN));
+        assertDelivered("begin", unsigned(TransactionStatus.OPEN));
         send(ExpectedReply.STATEMENT, "write");
-        assertOutOfStep(error(SessionStatus.IDLE));
+        assertOutOfStep(error(TransactionStatus.IDLE));
     }
 
     /** Guards against a write outside its transaction that succeeds there. */
     @Test
     void isOutOfStepWhenAStatementEndsItsTransaction() {
         send(ExpectedReply.TRANSACTION_START, "begin");
-        assertDelivered("begin", unsigned(SessionStatus.OPEN));
+        assertDelivered("begin", unsigned(TransactionStatus.OPEN));
         send(ExpectedReply.STATEMENT, "write");
-        assertOutOfStep(signed("s1", SessionStatus.IDLE));
+        assertOutOfStep(signed("s1", TransactionStatus.IDLE));
     }
 
     /** Guards against a needless loss of the connection on errors that a protocol example shows. */
     @Test
     void deliversAnErrorThatLeavesTheSessionFailed() {
         send(ExpectedReply.STATEMENT, "write");
-        assertDelivered("write", error(SessionStatus.FAILED));
+        assertDelivered("write", error(TransactionStatus.FAILED));
         assertTrue(replies.retiring());
     }
 
@@ -83,7 +83,7 @@
     @Test
     void retiresAfterAnError() {
         send(ExpectedReply.STATEMENT, "read");
-        assertDelivered("read", error(SessionStatus.IDLE));
+        assertDelivered("read", error(TransactionStatus.IDLE));
         assertTrue(replies.retiring());
     }
 
@@ -91,19 +91,19 @@
     @Test
     void retiresAfterAStatusAndAcceptsNoStatusWithoutRows() {
         send(ExpectedReply.SETUP, "set");
-        assertDelivered("set", unsigned(SessionStatus.IDLE));
+        assertDelivered("set", unsigned(TransactionStatus.IDLE));
         send(ExpectedReply.CONTROL, "status");
-        assertRepeated(unsigned(SessionStatus.IDLE));
-        assertDelivered("status", new ReceivedReply(true, Option.none(), true, SessionStatus.IDLE));
+        assertRepeated(unsigned(TransactionStatus.IDLE));
+        assertDelivered("status", new ReceivedReply(true, Option.none(), true, TransactionStatus.IDLE));
         assertTrue(replies.retiring());
     }
 
     /** Guards against an unknown answer that nobody has asked for and that is taken for a harmless repeat. */
     @Test
     void isOutOfStepWhenAnUnknownReplyComesWhileNothingIsAwaited() {
-        assertOutOfStep(signed("s1", SessionStatus.IDLE));
-        assertOutOfStep(unsigned(SessionStatus.IDLE));
-        assertOutOfStep(error(SessionStatus.IDLE));
+        assertOutOfStep(signed("s1", TransactionStatus.IDLE));
+        assertOutOfStep(unsigned(TransactionStatus.IDLE));
+        assertOutOfStep(error(TransactionStatus.IDLE));
     }
 
     /** Guards against a long-lived connection that forgets signatures, whose repeats would then be delivered. */
@@ -111,14 +111,14 @@
     void retiresBeforeItForgetsASignature() {
         for (int i = 0; i < 4_095; i++) {
             send(ExpectedReply.STATEMENT, "read" + i);
-            assertDelivered("read" + i, signed("s" + i, SessionStatus.IDLE));
+            assertDelivered("read" + i, signed("s" + i, TransactionStatus.IDLE));
         }
         assertFalse(replies.retiring());
         send(ExpectedReply.STATEMENT, "last");
-        assertDelivered("last", signed("last", SessionStatus.IDLE));
+        assertDelivered("last", signed("last", TransactionStatus.IDLE));
         assertTrue(replies.retiring());
         send(ExpectedReply.STATEMENT, "further");
-        assertRepeated(signed("s0", SessionStatus.IDLE));
+        assertRepeated(signed("s0", TransactionStatus.IDLE));
     }
 
     /** Guards against any interleaving of repeated replies that gives a caller a foreign answer. */
@@ -159,15 +159,15 @@
         assertInstanceOf(ReplyVerdict.OutOfStep.class, replies.received(reply));
     }
 
-    private static ReceivedReply signed(String signature, SessionStatus status) {
+    private static ReceivedReply signed(String signature, TransactionStatus status) {
         return new ReceivedReply(true, Option.some(signature), false, status);
     }
 
-    private static ReceivedReply unsigned(SessionStatus status) {
+    private static ReceivedReply unsigned(TransactionStatus status) {
         return new ReceivedReply(true, Option.none(), false, status);
     }
 
-    private static ReceivedReply error(SessionStatus status) {
+    private static ReceivedReply error(TransactionStatus status) {
         return new ReceivedReply(false, Option.none(), false, status);
     }
 
@@ -180,7 +180,7 @@
         private final List<ReceivedReply> repeatable = new ArrayList<>();
         private final Deque<ReceivedReply> unsent = new ArrayDeque<>();
         private final List<String> foreign = new ArrayList<>();
-        private SessionStatus endpointStatus = SessionStatus.IDLE;
+        private TransactionStatus endpointStatus = TransactionStatus.IDLE;
         private boolean lost;
         private int commands;
         private int delivered;
@@ -224,9 +224,9 @@
             commands++;
             sequence.sent(expected, name);
             if (expected == ExpectedReply.TRANSACTION_START) {
-                endpointStatus = SessionStatus.OPEN;
+                endpointStatus = TransactionStatus.OPEN;
             } else if (expected == ExpectedReply.COMMIT || expected == ExpectedReply.TRANSACTION_END) {
-                endpointStatus = SessionStatus.IDLE;
+                endpointStatus = TransactionStatus.IDLE;
             }
             unsent.addLast(expected.signed() ? signed(name, endpointStatus) : unsigned(endpointStatus));
         }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -10,7 +10,7 @@
 import org.hyssopswitch.core.connection.ExpectedReply;
 import org.hyssopswitch.core.connection.ReplySequence;
 import org.hyssopswitch.core.connection.ReplyVerdict;
-import org.hyssopswitch.core.connection.SessionStatus;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.statement.EndpointCommand;
@@ -60,7 +60,7 @@
             borrowed.applySession(sessionValues, shape);
             return;
         }
-        boolean outsideTransaction = replies.status() == SessionStatus.IDLE && replies.isComplete();
+        boolean outsideTransaction = replies.status() == TransactionStatus.IDLE && replies.isComplete();
         session.apply(sessionValues, shape, outsideTransaction).forEach(command -> send(command, new SetupReply()));
     }
 
@@ -269,7 +269,7 @@
     private boolean awaitsSetup(EndpointCommand command) {
         boolean statement = ReplyFactUtils.expectedReply(command).signed();
         boolean setupUnconfirmed = replies.firstExpected().contains(ExpectedReply.SETUP);
-        return !held.isEmpty() || (statement && setupUnconfirmed && replies.status() == SessionStatus.IDLE);
+        return !held.isEmpty() || (statement && setupUnconfirmed && replies.status() == TransactionStatus.IDLE);
     }
 
     private void transmit(EndpointCommand command, ReplyHandler handler) {
@@ -331,7 +331,7 @@
             retire();
             return;
         }
-        if (replies.status() != SessionStatus.IDLE) {
+        if (replies.status() != TransactionStatus.IDLE) {
             discard();
             return;
         }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyFactUtils.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyFactUtils.java
@@ -3,11 +3,9 @@
 import io.vavr.control.Option;
 import org.hyssopswitch.core.connection.ExpectedReply;
 import org.hyssopswitch.core.connection.ReceivedReply;
-import org.hyssopswitch.core.connection.SessionStatus;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.Reply;
 import org.hyssopswitch.pool.statement.StatementOutcome;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 
 /** Describes commands and replies by what tells the replies of a connection apart. */
 final class ReplyFactUtils {
@@ -39,14 +37,6 @@
                         && !success.equals(StatementOutcome.Success.LOCAL)
                 ? Option.some(success.signature())
                 : Option.none();
-        return new ReceivedReply(reply.succeeded(), signature, !reply.rows().isEmpty(), sessionStatus(reply.status()));
-    }
-
-    private static SessionStatus sessionStatus(TransactionStatus status) {
-        return switch (status) {
-            case IDLE -> SessionStatus.IDLE;
-            case OPEN -> SessionStatus.OPEN;
-            case FAILED -> SessionStatus.FAILED;
-        };
+        return new ReceivedReply(reply.succeeded(), signature, !reply.rows().isEmpty(), reply.status());
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import org.hyssopswitch.core.admission.AdmissionListener;
 import org.hyssopswitch.core.admission.AdmissionPermit;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Catalog;
@@ -20,7 +21,6 @@
 import org.hyssopswitch.pool.statement.PreparedShape;
 import org.hyssopswitch.pool.statement.Reply;
 import org.hyssopswitch.pool.statement.StatementOutcome;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 import org.hyssopswitch.proxy.net.GuardedTaskUtils;
 
 /** The session of one caller; executes its statements one at a time, in order. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import org.hyssopswitch.core.admission.AdmissionPermit;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.endpoint.PooledConnection;
 import org.hyssopswitch.pool.endpoint.ReplyHandler;
@@ -9,7 +10,6 @@
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
 import org.hyssopswitch.pool.statement.StatementOutcome;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 
 /**
  * A transaction of a caller. It acquires a connection for its first statement and holds it until it ends.
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/Reply.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/Reply.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.List;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 
 /**
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/CallerSessionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/CallerSessionTests.java
@@ -6,10 +6,10 @@
 
 import java.util.List;
 import java.util.Map;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.statement.CallerStatement;
 import org.hyssopswitch.pool.statement.ErrorCode;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 import org.hyssopswitch.pool.testing.FakeCaller;
 import org.hyssopswitch.pool.testing.TestPool;
 import org.junit.jupiter.api.Test;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/SessionStateTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/SessionStateTests.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.pool.statement.CallerStatement;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.PreparedShape;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 import org.hyssopswitch.pool.testing.FakeCaller;
 import org.hyssopswitch.pool.testing.TestPool;
 import org.hyssopswitch.pool.testing.TestPoolFleet;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Account;
@@ -20,7 +21,6 @@
 import org.hyssopswitch.pool.statement.PreparedShape;
 import org.hyssopswitch.pool.statement.Reply;
 import org.hyssopswitch.pool.statement.StatementOutcome;
-import org.hyssopswitch.pool.statement.TransactionStatus;
 
 /** A database endpoint that replies in virtual time and records the statements it executed. */
 public final class FakeEndpoint {
