Describe what is sent to an endpoint once

Cause: PooledConnection derived the expected reply of each command twice, once to decide whether it waits and once to send it, and kept two records for a command; EndpointConnection had the description of each mark computed twice. Both are on the path of every statement.

Change: one record holds a command with its expected reply, and whether it is measured is derived from that; AnswerMark keeps the description of the mark sent last. Behaviour stays as it is.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/PooledConnection.java
@@ -27,7 +27,7 @@
     private final ConnectionSessionState session = new ConnectionSessionState();
 
     /** Commands that wait until the endpoint has confirmed the session state that they need. */
-    private final Deque<HeldCommand> held = new ArrayDeque<>();
+    private final Deque<PendingCommand> held = new ArrayDeque<>();
 
     private final long createdMillis;
     private EndpointLink link;
@@ -75,10 +75,12 @@
             fail(handler);
             return;
         }
-        if (awaitsSetup(command)) {
-            held.addLast(new HeldCommand(command, handler));
+        PendingCommand pending =
+                new PendingCommand(command, ReplyFactUtils.expectedReply(command), handler, pool.nowMillis());
+        if (awaitsSetup(pending.expected())) {
+            held.addLast(pending);
         } else {
-            transmit(command, handler);
+            transmit(pending);
         }
     }
 
@@ -266,22 +268,19 @@
      * Whether a command has to wait for the replies that set up the session. Outside a transaction an endpoint runs a
      * statement although it has refused a value just before it.
      */
-    private boolean awaitsSetup(EndpointCommand command) {
-        boolean statement = ReplyFactUtils.expectedReply(command).signed();
+    private boolean awaitsSetup(ExpectedReply expected) {
         boolean setupUnconfirmed = replies.firstExpected().contains(ExpectedReply.SETUP);
-        return !held.isEmpty() || (statement && setupUnconfirmed && replies.status() == TransactionStatus.IDLE);
+        return !held.isEmpty() || (expected.signed() && setupUnconfirmed && replies.status() == TransactionStatus.IDLE);
     }
 
-    private void transmit(EndpointCommand command, ReplyHandler handler) {
-        ExpectedReply expected = ReplyFactUtils.expectedReply(command);
-        replies.sent(expected, new PendingCommand(handler, pool.nowMillis(), expected.signed()));
-        link.send(List.of(command));
+    private void transmit(PendingCommand pending) {
+        replies.sent(pending.expected(), pending);
+        link.send(List.of(pending.command()));
     }
 
     private void transmitHeld() {
         while (!held.isEmpty() && state != State.CLOSED) {
-            HeldCommand next = held.removeFirst();
-            transmit(next.command(), next.handler());
+            transmit(held.removeFirst().sentAt(pool.nowMillis()));
         }
     }
 
@@ -343,7 +342,7 @@
     private void markClosed() {
         state = State.CLOSED;
         pool.remove(this);
-        List<HeldCommand> unsent = List.copyOf(held);
+        List<PendingCommand> unsent = List.copyOf(held);
         held.clear();
         replies.drain().forEach(one -> fail(one.handler()));
         unsent.forEach(one -> one.handler().notSent());
@@ -365,17 +364,11 @@
         CLOSED
     }
 
-    private record HeldCommand(EndpointCommand command, ReplyHandler handler) {
-
-        HeldCommand {
-            Objects.requireNonNull(handler, "a command must have a handler");
-        }
-    }
-
     /** A log position of the primary, from a reply that may be a repeat. */
     private record PrimarySample(long askedMillis, LogPosition position) {}
 
-    private record PendingCommand(ReplyHandler handler, long sentMillis, boolean measured) {
+    private record PendingCommand(
+            EndpointCommand command, ExpectedReply expected, ReplyHandler handler, long sentMillis) {
 
         /** Time for the answer to a command that does no work, milliseconds. */
         private static final long COMMAND_TIMEOUT_MILLIS = 1_000;
@@ -388,7 +381,16 @@
         }
 
         long timeoutMillis() {
-            return measured ? STATEMENT_TIMEOUT_MILLIS : COMMAND_TIMEOUT_MILLIS;
+            return measured() ? STATEMENT_TIMEOUT_MILLIS : COMMAND_TIMEOUT_MILLIS;
+        }
+
+        /** Whether the endpoint does work for the command. */
+        boolean measured() {
+            return expected.signed();
+        }
+
+        PendingCommand sentAt(long millis) {
+            return new PendingCommand(command, expected, handler, millis);
         }
     }
 
--- a/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/AnswerMark.java
+++ b/hyssopswitch-proxy/src/main/java/org/hyssopswitch/proxy/home/AnswerMark.java
@@ -26,14 +26,16 @@
     private static final int DIGIT_MASK = 0xF;
 
     private int number;
+    private byte[] description = new byte[0];
 
     /** Returns the frames with the next mark in front of them. */
     byte[] next(byte[] frames) {
         number++;
+        description = describe();
         BodyWriter parse = new BodyWriter().writeString(STATEMENT).writeString("");
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(FrontendFrames.close('S', STATEMENT).encode());
-        out.writeBytes(parse.writeBytes(description()).toFrame('P').encode());
+        out.writeBytes(parse.writeBytes(description).toFrame('P').encode());
         out.writeBytes(new BodyWriter()
                 .writeByte('S')
                 .writeString(STATEMENT)
@@ -45,6 +47,10 @@
 
     /** Returns the body of the ParameterDescription that answers the mark sent last. */
     byte[] description() {
+        return description;
+    }
+
+    private byte[] describe() {
         BodyWriter body = new BodyWriter().writeShort(DIGITS);
         for (int i = 0; i < DIGITS; i++) {
             body.writeInt(DIGIT_OIDS[(number >>> (i * DIGIT_BITS)) & DIGIT_MASK]);
