--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/ControlConnectionTests.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/ControlConnectionTests.java
@@ -11,7 +11,6 @@
 import java.util.stream.Stream;
 import org.hyssopswitch.core.engine.ControlReply;
 import org.hyssopswitch.core.engine.ControlRequest;
-import org.hyssopswitch.proxy.net.DecisionLoop;
 import org.hyssopswitch.wire.BackendFrames;
 import org.hyssopswitch.wire.Frame;
 import org.junit.jupiter.api.Test;
@@ -21,7 +20,7 @@
 
     private final FakeEndpoint endpoint = new FakeEndpoint();
     private final ControlConnection control = new ControlConnection(
-            new IdleLoop(),
+            new StoppedLoop(),
             FakeEndpoint.SPEC.endpoint().id(),
             owner -> new EndpointConnection(endpoint, FakeEndpoint.SPEC, owner));
     private final List<Either<ControlFailure, ControlReply>> replies = new ArrayList<>();
@@ -66,23 +65,4 @@
                 BackendFrames.commandComplete("SELECT 1"),
                 BackendFrames.readyForQuery('I'));
     }
-
-    /** Time stands still. */
-    private static final class IdleLoop implements DecisionLoop {
-
-        @Override
-        public long nowMillis() {
-            return 0;
-        }
-
-        @Override
-        public Timer schedule(long delayMillis, Runnable task) {
-            return () -> {};
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            task.run();
-        }
-    }
 }
--- a/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/EndpointHomeTests.java
+++ b/hyssopswitch-proxy/src/test/java/org/hyssopswitch/proxy/home/EndpointHomeTests.java
@@ -19,7 +19,6 @@
 import org.hyssopswitch.proxy.forward.AnswerState;
 import org.hyssopswitch.proxy.forward.CycleRouting;
 import org.hyssopswitch.proxy.forward.ExecuteCycle;
-import org.hyssopswitch.proxy.net.DecisionLoop;
 import org.hyssopswitch.wire.BackendFrames;
 import org.hyssopswitch.wire.FrontendFrames;
 import org.junit.jupiter.api.Test;
@@ -112,23 +111,4 @@
         created.resize(3, 3);
         return created;
     }
-
-    /** Time stands still. */
-    private static final class StoppedLoop implements DecisionLoop {
-
-        @Override
-        public long nowMillis() {
-            return 0;
-        }
-
-        @Override
-        public Timer schedule(long delayMillis, Runnable task) {
-            return () -> {};
-        }
-
-        @Override
-        public void execute(Runnable task) {
-            task.run();
-        }
-    }
 }
