--- a/review/standin-2/Cases.java
+++ b/review/standin-2/Cases.java
@@ -9,8 +9,8 @@
     private static final Map<String, Case> CASES = Map.of(
             "LostInPlannedRelease", LostInPlannedRelease::run,
             "LostUnderPartialCut", LostUnderPartialCut::run,
-            "DrainForgottenAtRestart", DrainForgottenAtRestart::run,
             "LargeAnswerAtStop", LargeAnswerAtStop::run,
+            "WriteRunTwiceByStutter", WriteRunTwiceByStutter::run,
             "KeyMovedInTransaction", KeyMovedInTransaction::run);
 
     private Cases() {}
