Step an old primary down with the term that the endpoints report

Cause: the request to step down carries a term and has an effect only above the primary's own. The leader took it from its samples of the primary, which it has only for groups that its own callers read. Ruled out: a lost or late request; it was answered each time, by a server that still led, and the log said answered=true.

Change: the selectors of the target report the highest term of the answers that they read anyway. The request is repeated while the old primary still leads, for example because its slots are busy. The log says term= and effective=.

Evidence: stepsDownAPrimaryWhoseTermThisVmHasNotSeen fails without the change (the primary leads on).

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSelector.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSelector.java
@@ -27,7 +27,7 @@
     }
 
     @Override
-    public void select(Option<Endpoint> oldPrimary, Consumer<Option<Endpoint>> done) {
+    public void select(Option<Endpoint> oldPrimary, Consumer<Option<PromotionTarget>> done) {
         Option<CommitHolders> known = tracker.find(group);
         if (known.isEmpty()) {
             done.accept(Option.none());
@@ -41,7 +41,7 @@
             CommitHolders holders,
             CommitHolderSurvey.Result result,
             Option<Endpoint> oldPrimary,
-            Consumer<Option<Endpoint>> done) {
+            Consumer<Option<PromotionTarget>> done) {
         int copies = group.declaration().syncReplicas() + 1;
         Optional<CommitHolder> target =
                 holders.choosePrimary(copies, result.received(), holder -> isEligible(holder, oldPrimary));
@@ -60,7 +60,12 @@
         }
         CommitHolder chosen = target.get();
         CommitHolders next = holders.withPromoted(chosen, result.received().get(chosen), result.ended());
-        tracker.record(group, next, recorded -> done.accept(recorded ? findListed(chosen) : Option.none()));
+        tracker.record(
+                group,
+                next,
+                recorded -> done.accept(Option.when(recorded, chosen)
+                        .flatMap(this::findListed)
+                        .map(endpoint -> new PromotionTarget(endpoint, result.latestTerm()))));
     }
 
     private boolean isEligible(CommitHolder holder, Option<Endpoint> oldPrimary) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSurvey.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSurvey.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.hyssopswitch.core.failover.CommitHolder;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
@@ -28,7 +29,7 @@
     private final DatabaseGroup group;
     private final Consumer<Result> done;
     private final List<EndpointProbe> probes = new ArrayList<>();
-    private final Map<CommitHolder, LogPosition> received = new HashMap<>();
+    private final Map<CommitHolder, ReplicationStatus> statuses = new HashMap<>();
     private final Set<CommitHolder> ended = new HashSet<>();
     private int unanswered;
     private boolean completed;
@@ -73,7 +74,7 @@
         if (completed) {
             return;
         }
-        result.status().map(ReplicationStatus::received).forEach(position -> received.put(holder, position));
+        result.status().forEach(status -> statuses.put(holder, status));
         if (result.ended()) {
             ended.add(holder);
         }
@@ -87,7 +88,7 @@
         if (!completed) {
             completed = true;
             probes.forEach(EndpointProbe::cancel);
-            done.accept(new Result(received, ended));
+            done.accept(new Result(statuses, ended));
         }
     }
 
@@ -108,15 +109,30 @@
     /**
      * Result of a survey.
      *
-     * @param received log positions of the processes that answered
+     * @param statuses statuses of the processes that answered
      * @param ended processes that no longer run
      */
-    record Result(Map<CommitHolder, LogPosition> received, Set<CommitHolder> ended) {
+    record Result(Map<CommitHolder, ReplicationStatus> statuses, Set<CommitHolder> ended) {
 
         /** Copies the collections. */
         Result {
-            received = Map.copyOf(received);
+            statuses = Map.copyOf(statuses);
             ended = Set.copyOf(ended);
         }
+
+        /** Returns the log positions of the processes that answered. */
+        Map<CommitHolder, LogPosition> received() {
+            return statuses.entrySet().stream()
+                    .collect(Collectors.toUnmodifiableMap(
+                            Map.Entry::getKey, answer -> answer.getValue().received()));
+        }
+
+        /** Returns the highest term that was reported; -1 if there was no answer. */
+        long latestTerm() {
+            return statuses.values().stream()
+                    .mapToLong(ReplicationStatus::term)
+                    .max()
+                    .orElse(-1);
+        }
     }
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/MostAdvancedReplicaSelector.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/MostAdvancedReplicaSelector.java
@@ -29,7 +29,7 @@
     }
 
     @Override
-    public void select(Option<Endpoint> oldPrimary, Consumer<Option<Endpoint>> done) {
+    public void select(Option<Endpoint> oldPrimary, Consumer<Option<PromotionTarget>> done) {
         List<Endpoint> candidates = group.endpoints().stream()
                 .filter(endpoint -> !endpoint.draining()
                         && !oldPrimary.exists(primary -> primary.id().equals(endpoint.id()))
@@ -41,11 +41,11 @@
     private final class Selection {
 
         private final List<Endpoint> candidates;
-        private final Consumer<Option<Endpoint>> done;
+        private final Consumer<Option<PromotionTarget>> done;
         private final List<CandidateStatus> statuses = new ArrayList<>();
         private boolean ended;
 
-        Selection(List<Endpoint> candidates, Consumer<Option<Endpoint>> done) {
+        Selection(List<Endpoint> candidates, Consumer<Option<PromotionTarget>> done) {
             this.candidates = candidates;
             this.done = done;
         }
@@ -67,12 +67,17 @@
             }
         }
 
-        private Option<Endpoint> mostAdvanced() {
+        private Option<PromotionTarget> mostAdvanced() {
+            long latestTerm = statuses.stream()
+                    .mapToLong(one -> one.status().term())
+                    .max()
+                    .orElse(-1);
             Option<Endpoint> best = Option.ofOptional(statuses.stream()
                     .max(Comparator.comparing(CandidateStatus::received)
                             .thenComparing(one -> one.endpoint().id()))
                     .map(CandidateStatus::endpoint));
-            return best.orElse(() -> Option.ofOptional(candidates.stream().findFirst()));
+            return best.orElse(() -> Option.ofOptional(candidates.stream().findFirst()))
+                    .map(endpoint -> new PromotionTarget(endpoint, latestTerm));
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionTargetSelector.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionTargetSelector.java
@@ -11,7 +11,7 @@
      * Starts the selection.
      *
      * @param oldPrimary the primary to replace, if there is one
-     * @param done receives the endpoint once, or nothing if none can be promoted now
+     * @param done receives the target once, or nothing if none can be promoted now
      */
-    void select(Option<Endpoint> oldPrimary, Consumer<Option<Endpoint>> done);
+    void select(Option<Endpoint> oldPrimary, Consumer<Option<PromotionTarget>> done);
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
+import org.hyssopswitch.pool.endpoint.ReplicationStatus;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /** One promotion: has a replica selected, orders its promotion and waits until it is the primary. */
@@ -13,6 +14,9 @@
     /** Timeout of the request to step down, milliseconds. */
     private static final long STEP_DOWN_TIMEOUT_MILLIS = 250;
 
+    /** Delay before a request to step down that had no effect is repeated, milliseconds. */
+    private static final long STEP_DOWN_RETRY_DELAY_MILLIS = 50;
+
     /** Delay before a target is selected again when there was none, milliseconds. */
     private static final long SELECTION_RETRY_DELAY_MILLIS = 300;
 
@@ -82,7 +86,7 @@
         return ended && (replaced || nowMillis >= settledAtMillis);
     }
 
-    private void handleSelection(Option<Endpoint> target) {
+    private void handleSelection(Option<PromotionTarget> target) {
         target.peek(this::orderPromotion).onEmpty(() -> {
             LOG.warn(
                     "event=promotion_postponed group={} endpoints={}",
@@ -92,7 +96,7 @@
         });
     }
 
-    private void orderPromotion(Endpoint target) {
+    private void orderPromotion(PromotionTarget target) {
         election.recordPromotion(leadership -> {
             if (leadership.isEmpty()) {
                 end(0);
@@ -102,15 +106,15 @@
         });
     }
 
-    private void sendOrder(Endpoint target, LeadershipRecord leadership) {
+    private void sendOrder(PromotionTarget target, LeadershipRecord leadership) {
         orders++;
         PromotionAuthority.Order order =
-                new PromotionAuthority.Order(group.name(), target.id(), self, leadership.fencingToken());
+                new PromotionAuthority.Order(group.name(), target.endpoint().id(), self, leadership.fencingToken());
         authority.promote(order, answer -> {
             LOG.info(
                     "event=promotion_ordered group={} endpoint={} token={} order={} answer={}",
                     group.name(),
-                    target.id(),
+                    target.endpoint().id(),
                     leadership.fencingToken(),
                     orders,
                     answer);
@@ -118,13 +122,13 @@
         });
     }
 
-    private void handleAnswer(Endpoint target, LeadershipRecord leadership, PromotionAuthority.Answer answer) {
+    private void handleAnswer(PromotionTarget target, LeadershipRecord leadership, PromotionAuthority.Answer answer) {
         switch (answer) {
             case ACCEPTED -> {
+                end(PROMOTION_TIMEOUT_MILLIS);
                 if (planned) {
-                    stepDownOldPrimary();
+                    stepDownOldPrimary(target.latestTerm());
                 }
-                end(PROMOTION_TIMEOUT_MILLIS);
             }
             case REJECTED -> {
                 // The endpoint is down, or another VM has used a higher token; reading the record again tells which.
@@ -142,13 +146,13 @@
     }
 
     /** Repeats an order unless the failed primary is reachable again or this VM has lost the leadership. */
-    private void repeatOrder(Endpoint target, LeadershipRecord leadership) {
+    private void repeatOrder(PromotionTarget target, LeadershipRecord leadership) {
         boolean usable = !planned && group.primary().exists(primary -> group.isReachable(primary.id()));
         if (usable || !election.isLeader()) {
             LOG.info(
                     "event=promotion_abandoned group={} endpoint={} token={} primary_usable={}",
                     group.name(),
-                    target.id(),
+                    target.endpoint().id(),
                     leadership.fencingToken(),
                     usable);
             end(0);
@@ -157,17 +161,26 @@
         }
     }
 
-    /** Stops writes at the old primary, so that it acknowledges none that the new primary has not received. */
-    private void stepDownOldPrimary() {
-        oldPrimary.forEach(primary -> group.stepDown(
-                primary.id(),
-                group.term() + 1,
-                STEP_DOWN_TIMEOUT_MILLIS,
-                status -> LOG.info(
-                        "event=primary_stepped_down group={} endpoint={} answered={}",
-                        group.name(),
-                        primary.id(),
-                        status.isDefined())));
+    /**
+     * Stops writes at the old primary, so that it acknowledges none that the new primary has not received. The request
+     * needs a term above that of the primary, which this VM may not have seen while it has no callers of the group.
+     */
+    private void stepDownOldPrimary(long latestTerm) {
+        long term = Math.max(latestTerm, group.term()) + 1;
+        oldPrimary.forEach(primary -> group.stepDown(primary.id(), term, STEP_DOWN_TIMEOUT_MILLIS, status -> {
+            boolean effective = status.exists(known -> !known.primary());
+            LOG.info(
+                    "event=primary_stepped_down group={} endpoint={} term={} answered={} effective={}",
+                    group.name(),
+                    primary.id(),
+                    term,
+                    status.isDefined(),
+                    effective);
+            if (!effective && !isSettled(loop.nowMillis())) {
+                long reported = status.map(ReplicationStatus::term).getOrElse(latestTerm);
+                loop.schedule(STEP_DOWN_RETRY_DELAY_MILLIS, () -> stepDownOldPrimary(Math.max(latestTerm, reported)));
+            }
+        }));
     }
 
     private void end(long settleMillis) {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
@@ -87,20 +87,20 @@
     @Test
     void handsOverFromAPrimaryThatIsAboutToStop() {
         start();
-        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
-        pool.updateEndpoint(
-                new Endpoint(
-                        entry.id(),
-                        entry.group(),
-                        entry.host(),
-                        entry.port(),
-                        entry.dataCentre(),
-                        true,
-                        true,
-                        1,
-                        0,
-                        new StorePosition(0, 7)),
-                VMS);
+        drainPrimary();
+        pool.advance(500);
+        assertEquals(1, promoted().size());
+        assertFalse(pool.endpoint("e1").isPrimary());
+    }
+
+    /** Guards against writes that are acknowledged after the choice of the target, on a leader that has no callers. */
+    @Test
+    void stepsDownAPrimaryWhoseTermThisVmHasNotSeen() {
+        startWithoutCallers();
+        pool.endpoint("e1").setPosition(new LogPosition(7, 10));
+        pool.endpoint("e2").setPosition(new LogPosition(7, 10));
+        assertEquals(-1, pool.group().term());
+        drainPrimary();
         pool.advance(500);
         assertEquals(1, promoted().size());
         assertFalse(pool.endpoint("e1").isPrimary());
@@ -145,6 +145,13 @@
     }
 
     private void start() {
+        startWithoutCallers();
+        caller.read("warm");
+        pool.advance(1_500);
+        assertTrue(caller.lastReply().succeeded());
+    }
+
+    private void startWithoutCallers() {
         PeerLinks links = network.join("vm-1", (from, message) -> failover.received(from, message));
         failover = new PrimaryFailover(
                 "vm-1",
@@ -161,9 +168,7 @@
                 links);
         failover.setFleetSize(VMS);
         tick();
-        caller.read("warm");
         pool.advance(1_500);
-        assertTrue(caller.lastReply().succeeded());
     }
 
     private void tick() {
@@ -177,6 +182,23 @@
         }
     }
 
+    private void drainPrimary() {
+        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
+        pool.updateEndpoint(
+                new Endpoint(
+                        entry.id(),
+                        entry.group(),
+                        entry.host(),
+                        entry.port(),
+                        entry.dataCentre(),
+                        true,
+                        true,
+                        1,
+                        0,
+                        new StorePosition(0, 7)),
+                VMS);
+    }
+
     private List<String> promoted() {
         return orders.stream().map(PromotionAuthority.Order::endpoint).toList();
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -388,8 +388,8 @@
                 commandsInFailedTransactions++;
                 return failed(ErrorCode.MALFORMED);
             }
-            if (command instanceof EndpointCommand.StepDown) {
-                primary = false;
+            if (command instanceof EndpointCommand.StepDown stepDown) {
+                primary &= stepDown.term() <= position.term();
                 return StatementOutcome.Success.LOCAL;
             }
             if (command instanceof EndpointCommand.Begin begin) {
