Pause the other replicas while one with synchronous commits is promoted

Cause: the leader asked the replicas what they had received, chose the most advanced one and ordered its promotion, and nothing stopped commits between the question and the switch: the primary acknowledged what either replica received. Ruled out: a wrong choice at the moment of the question; the log shows the most advanced replica chosen each time.

Change: before the order, all replicas but the target are paused with a term above all that the servers report, and the target must then have all that the paused ones have (ReplicationFence, pure). Until the switch the old primary acknowledges only what the target receives, so that writes go on. The pause is recorded in the store before it begins and ended by whoever leads: once the target leads, or once no order can be carried out any more (GroupFence). A planned replacement still steps the primary down once the order is accepted, so that its writes in flight are answered. Groups without synchronous replicas are promoted as before.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplicationStatus.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ReplicationStatus.java
@@ -1,4 +1,4 @@
-package org.hyssopswitch.pool.endpoint;
+package org.hyssopswitch.core.failover;
 
 import org.hyssopswitch.core.position.LogPosition;
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -208,27 +209,48 @@
     }
 
     /**
-     * Queries the replication status of a process of the group that may no longer be listed.
+     * Sends a command that reports the status to a process of the group that may no longer be listed.
      *
      * @param process the process, with its last known address
+     * @param command the command
      * @param callback receives one result
-     * @return the running query
+     * @return the running command
      */
-    public EndpointProbe probe(Endpoint process, Consumer<ProbeResult> callback) {
-        return EndpointProbe.start(process, context, callback);
+    public EndpointProbe probe(Endpoint process, EndpointCommand command, Consumer<ProbeResult> callback) {
+        return EndpointProbe.start(process, command, context, callback);
     }
 
     /**
-     * Demotes a primary to a replica.
+     * Asks an endpoint whether it is the primary. If it is, it becomes the primary that this VM uses.
      *
      * @param endpointId the endpoint
-     * @param term a term above that of the primary
+     */
+    public void samplePrimary(String endpointId) {
+        Option.of(pools.get(endpointId)).forEach(EndpointPool::samplePrimary);
+    }
+
+    /**
+     * Sends a command that reports the replication status to an endpoint.
+     *
+     * @param endpointId the endpoint
+     * @param command the command
      * @param maxWaitMillis maximum time to wait for a connection, milliseconds
      * @param callback receives the status afterwards, or nothing if the endpoint returned none
      */
-    public void stepDown(
-            String endpointId, long term, long maxWaitMillis, Consumer<Option<ReplicationStatus>> callback) {
-        sendControl(endpointId, new EndpointCommand.StepDown(term), maxWaitMillis, callback);
+    public void sendControl(
+            String endpointId,
+            EndpointCommand command,
+            long maxWaitMillis,
+            Consumer<Option<ReplicationStatus>> callback) {
+        Option.of(pools.get(endpointId))
+                .peek(pool -> pool.sendControl(
+                        command,
+                        maxWaitMillis,
+                        reply -> callback.accept(reply.filter(Reply::succeeded)
+                                .flatMap(answer ->
+                                        Option.ofOptional(answer.rows().stream().findFirst()))
+                                .flatMap(decoder::decode))))
+                .onEmpty(() -> callback.accept(Option.none()));
     }
 
     /**
@@ -411,22 +433,6 @@
         }
     }
 
-    private void sendControl(
-            String endpointId,
-            EndpointCommand command,
-            long maxWaitMillis,
-            Consumer<Option<ReplicationStatus>> callback) {
-        Option.of(pools.get(endpointId))
-                .peek(pool -> pool.sendControl(
-                        command,
-                        maxWaitMillis,
-                        reply -> callback.accept(reply.filter(Reply::succeeded)
-                                .flatMap(answer ->
-                                        Option.ofOptional(answer.rows().stream().findFirst()))
-                                .flatMap(decoder::decode))))
-                .onEmpty(() -> callback.accept(Option.none()));
-    }
-
     private void removeEndpoint(String id) {
         EndpointPool pool = pools.remove(id);
         LOG.info("event=endpoint_removed group={} endpoint={}", name(), id);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointProbe.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/EndpointProbe.java
@@ -10,22 +10,25 @@
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.Reply;
 
-/** Queries the replication status of a process that may no longer be listed, over a connection of its own. */
+/** Sends one command to a process that may no longer be listed, over a connection of its own, and reads its status. */
 public final class EndpointProbe implements EndpointLink.Listener {
 
     private final StatusDecoder decoder;
+    private final EndpointCommand command;
     private final Consumer<ProbeResult> callback;
     private Option<EndpointLink> link = Option.none();
     private boolean completed;
 
-    private EndpointProbe(StatusDecoder decoder, Consumer<ProbeResult> callback) {
+    private EndpointProbe(StatusDecoder decoder, EndpointCommand command, Consumer<ProbeResult> callback) {
         this.decoder = decoder;
+        this.command = command;
         this.callback = callback;
     }
 
-    /** Starts a query; the callback receives one result. */
-    static EndpointProbe start(Endpoint endpoint, GroupContext context, Consumer<ProbeResult> callback) {
-        EndpointProbe probe = new EndpointProbe(context.decoder(), callback);
+    /** Connects and sends a command that reports the status; the callback receives one result. */
+    static EndpointProbe start(
+            Endpoint endpoint, EndpointCommand command, GroupContext context, Consumer<ProbeResult> callback) {
+        EndpointProbe probe = new EndpointProbe(context.decoder(), command, callback);
         EndpointLink opened = context.connector().open(endpoint, Account.ANONYMOUS, probe);
         if (probe.completed) {
             opened.close();
@@ -42,7 +45,7 @@
 
     @Override
     public void opened(Option<LogPosition> position) {
-        link.forEach(opened -> opened.send(List.of(new EndpointCommand.QueryStatus())));
+        link.forEach(opened -> opened.send(List.of(command)));
     }
 
     @Override
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ProbeResult.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ProbeResult.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.endpoint;
 
 import io.vavr.control.Option;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 
 /**
  * Result of querying one process outside the pools.
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyFactUtils.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/ReplyFactUtils.java
@@ -28,8 +28,7 @@
         if (command instanceof EndpointCommand.Rollback) {
             return ExpectedReply.TRANSACTION_END;
         }
-        boolean control = command instanceof EndpointCommand.QueryStatus || command instanceof EndpointCommand.StepDown;
-        return control ? ExpectedReply.CONTROL : ExpectedReply.SETUP;
+        return command.reportsStatus() ? ExpectedReply.CONTROL : ExpectedReply.SETUP;
     }
 
     static ReceivedReply receivedReply(Reply reply) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/StatusDecoder.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/StatusDecoder.java
@@ -1,6 +1,7 @@
 package org.hyssopswitch.pool.endpoint;
 
 import io.vavr.control.Option;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 
 /** Decodes the row with which an endpoint answers a status query. */
 @FunctionalInterface
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSurvey.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSurvey.java
@@ -11,22 +11,26 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.hyssopswitch.core.failover.CommitHolder;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
 import org.hyssopswitch.pool.endpoint.EndpointProbe;
 import org.hyssopswitch.pool.endpoint.ProbeResult;
-import org.hyssopswitch.pool.endpoint.ReplicationStatus;
+import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
-/** Queries servers for the log they have received, those that are no longer listed at their last known address. */
+/**
+ * Sends a command that reports the status to servers, to those that are no longer listed at their last known address.
+ */
 final class CommitHolderSurvey {
 
     /** Time after which an answer is no longer awaited, milliseconds. */
     private static final long TIMEOUT_MILLIS = 250;
 
     private final DatabaseGroup group;
+    private final EndpointCommand command;
     private final Consumer<Result> done;
     private final List<EndpointProbe> probes = new ArrayList<>();
     private final Map<CommitHolder, ReplicationStatus> statuses = new HashMap<>();
@@ -34,17 +38,28 @@
     private int unanswered;
     private boolean completed;
 
-    private CommitHolderSurvey(DatabaseGroup group, int holders, Consumer<Result> done) {
+    private CommitHolderSurvey(DatabaseGroup group, EndpointCommand command, int holders, Consumer<Result> done) {
         this.group = group;
+        this.command = command;
         this.unanswered = holders;
         this.done = done;
     }
 
-    /** Starts a survey; {@code done} receives one result, on the decision thread. */
+    /** Queries the log that servers have received; {@code done} receives one result, on the decision thread. */
     static void start(DatabaseGroup group, Collection<CommitHolder> holders, DecisionLoop loop, Consumer<Result> done) {
-        CommitHolderSurvey survey = new CommitHolderSurvey(group, holders.size(), done);
+        start(group, new EndpointCommand.QueryStatus(), holders, loop, done);
+    }
+
+    /** Sends a command that reports the status; {@code done} receives one result, on the decision thread. */
+    static void start(
+            DatabaseGroup group,
+            EndpointCommand command,
+            Collection<CommitHolder> holders,
+            DecisionLoop loop,
+            Consumer<Result> done) {
+        CommitHolderSurvey survey = new CommitHolderSurvey(group, command, holders.size(), done);
         loop.schedule(TIMEOUT_MILLIS, survey::complete);
-        holders.forEach(survey::query);
+        holders.forEach(survey::send);
     }
 
     /** Returns the holder that a listed endpoint is. */
@@ -58,15 +73,18 @@
         return group.endpoints().stream().map(CommitHolderSurvey::holderOf).toList();
     }
 
-    private void query(CommitHolder holder) {
+    private void send(CommitHolder holder) {
         List<CommitHolder> listed = listed(group);
         if (listed.stream().anyMatch(one -> one.replaces(holder))) {
             answered(holder, new ProbeResult(Option.none(), true));
         } else if (listed.contains(holder) && group.isReachable(holder.endpoint())) {
-            group.queryStatus(
-                    holder.endpoint(), TIMEOUT_MILLIS, status -> answered(holder, new ProbeResult(status, false)));
+            group.sendControl(
+                    holder.endpoint(),
+                    command,
+                    TIMEOUT_MILLIS,
+                    status -> answered(holder, new ProbeResult(status, false)));
         } else {
-            probes.add(group.probe(addressOf(holder), result -> answered(holder, result)));
+            probes.add(group.probe(addressOf(holder), command, result -> answered(holder, result)));
         }
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/MostAdvancedReplicaSelector.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/MostAdvancedReplicaSelector.java
@@ -5,10 +5,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
-import org.hyssopswitch.pool.endpoint.ReplicationStatus;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /**
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.message.PeerMessage;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -14,7 +13,6 @@
 import org.hyssopswitch.pool.peer.LeadershipPong;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryUnreachableReport;
-import org.hyssopswitch.pool.store.ObjectTable;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /** Detects groups that need another primary and, on the promotion leader, has a replica promoted. */
@@ -45,6 +43,7 @@
     private final DecisionLoop loop;
     private final PromotionLeaderElection election;
     private final CommitHolderTracker commitHolders;
+    private final PromotionFences fences;
     private final UnreachabilityReports reports = new UnreachabilityReports();
     private final Map<String, Long> unusableSinceMillis = new HashMap<>();
     private final Map<String, ReplicaPromotion> promotions = new HashMap<>();
@@ -58,8 +57,7 @@
      * @param self name of this VM
      * @param groups the database groups
      * @param authority orders promotions
-     * @param table holds the leadership record
-     * @param holders servers that may hold acknowledged commits, by group
+     * @param tables what the promotion leader keeps in the store
      * @param eras eras of the store
      * @param loop the decision thread
      * @param random source of jitter
@@ -69,8 +67,7 @@
             String self,
             DatabaseGroups groups,
             PromotionAuthority authority,
-            ObjectTable<LeadershipRecord> table,
-            ObjectTable<CommitHolders> holders,
+            FailoverTables tables,
             StoreEraTracker eras,
             DecisionLoop loop,
             RandomGenerator random,
@@ -79,8 +76,9 @@
         this.groups = groups;
         this.authority = authority;
         this.loop = loop;
-        this.election = new PromotionLeaderElection(self, table, eras, loop, random, peers);
-        this.commitHolders = new CommitHolderTracker(holders, loop);
+        this.election = new PromotionLeaderElection(self, tables.leadership(), eras, loop, random, peers);
+        this.commitHolders = new CommitHolderTracker(tables.commitHolders(), loop);
+        this.fences = new PromotionFences(tables.fences(), groups, election, commitHolders, loop);
         this.peers = peers;
         this.lastReportMillis = loop.nowMillis();
     }
@@ -117,6 +115,12 @@
     public void eraAdvanced() {
         election.eraAdvanced();
         commitHolders.reset();
+        fences.reset();
+    }
+
+    /** Whether this VM is the promotion leader, as far as it knows. */
+    boolean isLeader() {
+        return election.isLeader();
     }
 
     /** Checks whether groups need a promotion; called every few milliseconds. */
@@ -142,6 +146,9 @@
         }
         if (!election.isLeader()) {
             commitHolders.reset();
+            fences.reset();
+        } else if (groups.all().stream().anyMatch(PrimaryFailover::isSynchronous)) {
+            fences.tick();
         }
         if (reportDue) {
             lastReportMillis = now;
@@ -167,9 +174,7 @@
 
     private void promoteIfNeeded(DatabaseGroup group, boolean unusableHere, long now) {
         ReplicaPromotion current = promotions.get(group.name());
-        boolean holdersUnread =
-                isSynchronous(group) && commitHolders.find(group).isEmpty();
-        if (holdersUnread || (current != null && !current.isSettled(now))) {
+        if (current != null && !current.isSettled(now)) {
             return;
         }
         promotions.remove(group.name());
@@ -178,11 +183,32 @@
         int cutOff = reports.count(group.name(), id, now) + (unusableHere ? 1 : 0);
         boolean draining = primary.exists(Endpoint::draining);
         boolean missing = unusableHere && primary.isEmpty();
-        if (draining || missing || cutOff >= Math.min(vmCount, Math.max(2, vmCount * CUT_OFF_FRACTION))) {
-            ReplicaPromotion started = new ReplicaPromotion(self, group, selector(group), authority, election, loop);
+        boolean needed = draining || missing || cutOff >= Math.min(vmCount, Math.max(2, vmCount * CUT_OFF_FRACTION));
+        boolean planned = draining && group.isReachable(id);
+        if (mayPromote(group, planned) && needed) {
+            ReplicaPromotion started =
+                    new ReplicaPromotion(self, group, selector(group), authority, election, listener(group), loop);
             promotions.put(group.name(), started);
-            started.start(primary, draining && group.isReachable(id), cutOff);
+            started.start(primary, planned, cutOff);
+        }
+    }
+
+    /** Whether a promotion may start; first goes on to end the pause of an earlier one. */
+    private boolean mayPromote(DatabaseGroup group, boolean planned) {
+        boolean synchronous = isSynchronous(group);
+        if (!synchronous && !fences.isFenced(group)) {
+            return true;
+        }
+        if (!fences.isRead() || (synchronous && commitHolders.find(group).isEmpty())) {
+            return false;
         }
+        GroupFence fence = fences.of(group);
+        fence.step();
+        return fence.mayPromote(planned);
+    }
+
+    private PromotionListener listener(DatabaseGroup group) {
+        return isSynchronous(group) ? fences.of(group) : PromotionListener.NONE;
     }
 
     private void trackCommitHolders(DatabaseGroup group) {
@@ -193,7 +219,7 @@
 
     private PromotionTargetSelector selector(DatabaseGroup group) {
         return isSynchronous(group)
-                ? new CommitHolderSelector(group, commitHolders, loop)
+                ? new CommitHolderSelector(group, commitHolders, fences.of(group), loop)
                 : new MostAdvancedReplicaSelector(group, loop);
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionLeaderElection.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionLeaderElection.java
@@ -182,6 +182,12 @@
         discardRecord();
     }
 
+    /** Another VM has acted as the leader under a later term. */
+    void superseded() {
+        LOG.warn("event=duty_lost holder={} cause=superseded", leader().getOrElse("none"));
+        discardRecord();
+    }
+
     void pingReceived(String vm, LeadershipPing ping) {
         long term = termNumber();
         if (ping.term() > term && !operationPending) {
@@ -199,7 +205,7 @@
     }
 
     /** Returns the number of the latest term that this VM knows, or -1 when it knows none. */
-    private long termNumber() {
+    long termNumber() {
         return record.flatMap(VersionedObject::value)
                 .map(known -> known.term().number())
                 .getOrElse(-1L);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/ReplicaPromotion.java
@@ -3,9 +3,10 @@
 import io.vavr.control.Option;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
-import org.hyssopswitch.pool.endpoint.ReplicationStatus;
+import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /** One promotion: has a replica selected, orders its promotion and waits until it is the primary. */
@@ -27,7 +28,7 @@
     private static final int MAX_ORDERS = 6;
 
     /** Time in which a promoted endpoint must become the primary, milliseconds: a few times what groups take. */
-    private static final long PROMOTION_TIMEOUT_MILLIS = 3_000;
+    static final long PROMOTION_TIMEOUT_MILLIS = 3_000;
 
     private static final Logger LOG = LogManager.getLogger(ReplicaPromotion.class);
 
@@ -37,6 +38,7 @@
     private final PromotionAuthority authority;
     private final PromotionLeaderElection election;
     private final DecisionLoop loop;
+    private final PromotionListener listener;
     private Option<Endpoint> oldPrimary = Option.none();
     private boolean planned;
     private int orders;
@@ -49,12 +51,14 @@
             PromotionTargetSelector selector,
             PromotionAuthority authority,
             PromotionLeaderElection election,
+            PromotionListener listener,
             DecisionLoop loop) {
         this.self = self;
         this.group = group;
         this.selector = selector;
         this.authority = authority;
         this.election = election;
+        this.listener = listener;
         this.loop = loop;
     }
 
@@ -108,6 +112,7 @@
 
     private void sendOrder(PromotionTarget target, LeadershipRecord leadership) {
         orders++;
+        listener.orderSent();
         PromotionAuthority.Order order =
                 new PromotionAuthority.Order(group.name(), target.endpoint().id(), self, leadership.fencingToken());
         authority.promote(order, answer -> {
@@ -118,6 +123,7 @@
                     leadership.fencingToken(),
                     orders,
                     answer);
+            listener.orderAnswered(answer);
             handleAnswer(target, leadership, answer);
         });
     }
@@ -167,20 +173,22 @@
      */
     private void stepDownOldPrimary(long latestTerm) {
         long term = Math.max(latestTerm, group.term()) + 1;
-        oldPrimary.forEach(primary -> group.stepDown(primary.id(), term, STEP_DOWN_TIMEOUT_MILLIS, status -> {
-            boolean effective = status.exists(known -> !known.primary());
-            LOG.info(
-                    "event=primary_stepped_down group={} endpoint={} term={} answered={} effective={}",
-                    group.name(),
-                    primary.id(),
-                    term,
-                    status.isDefined(),
-                    effective);
-            if (!effective && !isSettled(loop.nowMillis())) {
-                long reported = status.map(ReplicationStatus::term).getOrElse(latestTerm);
-                loop.schedule(STEP_DOWN_RETRY_DELAY_MILLIS, () -> stepDownOldPrimary(Math.max(latestTerm, reported)));
-            }
-        }));
+        oldPrimary.forEach(primary -> group.sendControl(
+                primary.id(), new EndpointCommand.StepDown(term), STEP_DOWN_TIMEOUT_MILLIS, status -> {
+                    boolean effective = status.exists(known -> !known.primary());
+                    LOG.info(
+                            "event=primary_stepped_down group={} endpoint={} term={} answered={} effective={}",
+                            group.name(),
+                            primary.id(),
+                            term,
+                            status.isDefined(),
+                            effective);
+                    if (!effective && !isSettled(loop.nowMillis())) {
+                        long reported = status.map(ReplicationStatus::term).getOrElse(latestTerm);
+                        loop.schedule(
+                                STEP_DOWN_RETRY_DELAY_MILLIS, () -> stepDownOldPrimary(Math.max(latestTerm, reported)));
+                    }
+                }));
     }
 
     private void end(long settleMillis) {
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/EndpointCommand.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/EndpointCommand.java
@@ -6,6 +6,14 @@
 /** A command that a VM sends to an endpoint. */
 public sealed interface EndpointCommand {
 
+    /** Whether the endpoint replies with its replication status. */
+    default boolean reportsStatus() {
+        return this instanceof QueryStatus
+                || this instanceof StepDown
+                || this instanceof Pause
+                || this instanceof Resume;
+    }
+
     /**
      * Starts a transaction.
      *
@@ -64,4 +72,14 @@
      * @param term term above that of the primary
      */
     record StepDown(long term) implements EndpointCommand {}
+
+    /**
+     * Stops a replica from receiving the log until it is resumed, promoted or started again.
+     *
+     * @param term term above the latest that the replica knows
+     */
+    record Pause(long term) implements EndpointCommand {}
+
+    /** Lets a paused replica receive the log again. */
+    record Resume() implements EndpointCommand {}
 }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/VmDependencies.java
@@ -2,13 +2,12 @@
 
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointConnector;
 import org.hyssopswitch.pool.endpoint.StatusDecoder;
-import org.hyssopswitch.pool.failover.LeadershipRecord;
+import org.hyssopswitch.pool.failover.FailoverTables;
 import org.hyssopswitch.pool.failover.PromotionAuthority;
 import org.hyssopswitch.pool.store.ObjectTable;
 import org.hyssopswitch.proxy.net.DecisionLoop;
@@ -27,8 +26,7 @@
  * @param endpoints the listed endpoints
  * @param vms the VMs of the fleet
  * @param secrets the secret that the VMs of the fleet share
- * @param leadershipRecords the promotion leader
- * @param commitHolders the servers that may hold acknowledged commits, by group
+ * @param failoverTables what the promotion leader keeps in the store
  * @param promotionAuthority orders promotions
  * @param statusDecoder decodes answers to status queries
  */
@@ -44,7 +42,6 @@
         ObjectTable<Endpoint> endpoints,
         ObjectTable<VmEntry> vms,
         ObjectTable<FleetSecret> secrets,
-        ObjectTable<LeadershipRecord> leadershipRecords,
-        ObjectTable<CommitHolders> commitHolders,
+        FailoverTables failoverTables,
         PromotionAuthority promotionAuthority,
         StatusDecoder statusDecoder) {}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
@@ -160,8 +160,10 @@
                     orders.add(order);
                     pool.loop().schedule(5, () -> done.accept(answer));
                 },
-                new FakeObjectTable<>(pool.loop()),
-                new FakeObjectTable<>(pool.loop()),
+                new FailoverTables(
+                        new FakeObjectTable<>(pool.loop()),
+                        new FakeObjectTable<>(pool.loop()),
+                        new FakeObjectTable<>(pool.loop())),
                 new StoreEraTracker(),
                 pool.loop(),
                 new Random(1),
--- /dev/null
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
@@ -0,0 +1,130 @@
+package org.hyssopswitch.pool.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hyssopswitch.pool.testing.FakeReplication;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against the loss of commits that a primary acknowledges while it is replaced, and against replicas that stay
+ * paused after a promotion or after one that did not take place.
+ */
+class PromotionFenceTests {
+
+    /** Longest time without an acknowledged commit while the primary leads, milliseconds: replicas receive within 60 ms. */
+    private static final long STEADY_GAP_MILLIS = 130;
+
+    private final SynchronousFleet fleet = new SynchronousFleet(1);
+
+    /** Guards against commits that are acknowledged between the choice of the target and the switch. */
+    @Test
+    void losesNoCommitOfAPrimaryThatSomeVmsCannotReach() {
+        for (int round = 0; round < 20; round++) {
+            fleet.reportCut(3);
+            fleet.advance(2_000);
+        }
+        assertEquals(20, fleet.promotions());
+        fleet.assertNothingLost();
+        fleet.assertNothingPaused();
+    }
+
+    @Test
+    void losesNoCommitOfAPrimaryThatIsReplacedAsPlanned() {
+        for (int round = 0; round < 20; round++) {
+            fleet.drainPrimary();
+            fleet.advance(2_000);
+            fleet.endDrains();
+        }
+        assertEquals(20, fleet.promotions());
+        fleet.assertNothingLost();
+        fleet.assertNothingPaused();
+    }
+
+    /** Guards against a pause of writes for the time that the promotion of an unplanned replacement takes. */
+    @Test
+    void commitsAreAcknowledgedUntilThePromotionTakesEffect() {
+        fleet.replication().takeLongestGapMillis();
+        fleet.reportCut(3);
+        fleet.advance(2_000);
+        assertEquals(1, fleet.promotions());
+        assertTrue(fleet.replication().takeLongestGapMillis() <= STEADY_GAP_MILLIS);
+    }
+
+    /** Guards against a late order that promotes its target after the others have been resumed. */
+    @Test
+    void losesNoCommitToAnOrderThatIsCarriedOutLate() {
+        for (int round = 0; round < 20; round++) {
+            fleet.replication().setOutcome(FakeReplication.Outcome.LATE);
+            fleet.reportCut(3);
+            fleet.advance(600);
+            fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
+            fleet.advance(16_000);
+        }
+        fleet.assertNothingLost();
+        fleet.assertNothingPaused();
+    }
+
+    /** Guards against replicas that stay paused when the primary need not be replaced any more. */
+    @Test
+    void resumesTheReplicasOfAPromotionThatWasNotCarriedOut() {
+        fleet.replication().setOutcome(FakeReplication.Outcome.UNAVAILABLE);
+        fleet.replication().takeLongestGapMillis();
+        fleet.reportCut(3);
+        fleet.advance(1_500);
+        assertEquals(1, fleet.pausedReplicas());
+        assertTrue(fleet.replication().takeLongestGapMillis() <= STEADY_GAP_MILLIS);
+        fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
+        fleet.advance(16_000);
+        assertEquals(0, fleet.promotions());
+        fleet.assertNothingPaused();
+        assertTrue(fleet.replication().takeLongestGapMillis() <= STEADY_GAP_MILLIS);
+    }
+
+    /** Guards against replicas that stay paused because the leader ended after it had paused them. */
+    @Test
+    void resumesTheReplicasThatAnEarlierLeaderPaused() {
+        fleet.replication().setOutcome(FakeReplication.Outcome.UNAVAILABLE);
+        fleet.reportCut(3);
+        fleet.advance(200);
+        assertEquals(1, fleet.pausedReplicas());
+        fleet.stopLeader();
+        fleet.advance(1_500);
+        assertEquals(1, fleet.pausedReplicas());
+        fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
+        fleet.startStopped();
+        fleet.advance(20_000);
+        assertEquals(0, fleet.promotions());
+        fleet.assertNothingPaused();
+    }
+
+    /** Guards against a target that receives nothing, of which the pause of the others would keep all commits waiting. */
+    @Test
+    void replacesAPrimaryWhoseOtherReplicaReceivesNothing() {
+        fleet.replication().setDeaf(fleet.endpoint("e2"), true);
+        fleet.advance(500);
+        fleet.reportCut(3);
+        fleet.advance(2_000);
+        assertEquals(1, fleet.promotions());
+        assertTrue(fleet.endpoint("e3").isPrimary());
+        fleet.replication().setDeaf(fleet.endpoint("e2"), false);
+        fleet.advance(5_000);
+        fleet.assertNothingLost();
+        fleet.assertNothingPaused();
+    }
+
+    /** Guards against a promotion that is ordered although a replica may go on receiving. */
+    @Test
+    void keepsThePrimaryWhileAReplicaDoesNotConfirmThePause() {
+        fleet.endpoint("e2").setUnresponsive(true);
+        fleet.advance(1_000);
+        fleet.reportCut(3);
+        fleet.advance(1_000);
+        assertEquals(0, fleet.promotions());
+        assertFalse(fleet.endpoint("e3").isPaused());
+        fleet.endpoint("e2").setUnresponsive(false);
+        fleet.advance(5_000);
+        fleet.assertNothingPaused();
+    }
+}
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousPromotionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousPromotionTests.java
@@ -35,6 +35,7 @@
     private final FakePeerNetwork network = new FakePeerNetwork(pool.loop());
     private final FakeObjectTable<LeadershipRecord> leadership = new FakeObjectTable<>(pool.loop());
     private final FakeObjectTable<CommitHolders> holders = new FakeObjectTable<>(pool.loop());
+    private final FakeObjectTable<FenceRecord> fences = new FakeObjectTable<>(pool.loop());
     private final List<String> promoted = new ArrayList<>();
     private PrimaryFailover failover;
     private boolean stopped;
@@ -192,8 +193,7 @@
                     promoted.add(order.endpoint());
                     pool.loop().schedule(5, () -> done.accept(PromotionAuthority.Answer.ACCEPTED));
                 },
-                leadership,
-                holders,
+                new FailoverTables(leadership, holders, fences),
                 new StoreEraTracker(),
                 pool.loop(),
                 new Random(1),
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -10,12 +10,12 @@
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import org.hyssopswitch.core.connection.TransactionStatus;
+import org.hyssopswitch.core.failover.ReplicationStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.EndpointLink;
-import org.hyssopswitch.pool.endpoint.ReplicationStatus;
 import org.hyssopswitch.pool.statement.EndpointCommand;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.statement.PreparedShape;
@@ -39,6 +39,7 @@
     private boolean primary;
     private boolean running = true;
     private boolean unresponsive;
+    private boolean paused;
     private boolean overloaded;
     private long workMillis;
     private long startMillis;
@@ -120,11 +121,26 @@
                 Boolean.parseBoolean(fields[0]), term, new LogPosition(term, Long.parseLong(fields[2]))));
     }
 
+    /** Returns the identifier. */
+    public String id() {
+        return id;
+    }
+
     /** Whether the endpoint is the primary. */
     public boolean isPrimary() {
         return primary;
     }
 
+    /** Whether the endpoint receives nothing until it is resumed or promoted. */
+    public boolean isPaused() {
+        return paused;
+    }
+
+    /** Lets the endpoint receive again, as a promotion does. */
+    public void endPause() {
+        paused = false;
+    }
+
     /** Sets the log position. */
     public void setPosition(LogPosition next) {
         position = next;
@@ -373,9 +389,9 @@
         }
 
         private List<String> rows(EndpointCommand command) {
-            boolean control =
-                    command instanceof EndpointCommand.QueryStatus || command instanceof EndpointCommand.StepDown;
-            return control ? List.of(primary + " " + position.term() + " " + position.offset()) : List.of();
+            return command.reportsStatus()
+                    ? List.of(primary + " " + position.term() + " " + position.offset())
+                    : List.of();
         }
 
         private void reset() {
@@ -392,6 +408,14 @@
                 primary &= stepDown.term() <= position.term();
                 return StatementOutcome.Success.LOCAL;
             }
+            if (command instanceof EndpointCommand.Pause pause) {
+                paused |= !primary && pause.term() > position.term();
+                return StatementOutcome.Success.LOCAL;
+            }
+            if (command instanceof EndpointCommand.Resume) {
+                paused = false;
+                return StatementOutcome.Success.LOCAL;
+            }
             if (command instanceof EndpointCommand.Begin begin) {
                 return begin(begin);
             }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/vm/FleetMembershipTests.java
@@ -16,6 +16,8 @@
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Endpoint;
+import org.hyssopswitch.pool.failover.FailoverTables;
+import org.hyssopswitch.pool.failover.FenceRecord;
 import org.hyssopswitch.pool.failover.LeadershipRecord;
 import org.hyssopswitch.pool.failover.PromotionAuthority;
 import org.hyssopswitch.pool.peer.PeerLinkListener;
@@ -109,8 +111,10 @@
                 new FakeObjectTable<Endpoint>(loop),
                 vms.client(eras),
                 secrets.client(eras),
-                new FakeObjectTable<LeadershipRecord>(loop),
-                new FakeObjectTable<CommitHolders>(loop),
+                new FailoverTables(
+                        new FakeObjectTable<LeadershipRecord>(loop),
+                        new FakeObjectTable<CommitHolders>(loop),
+                        new FakeObjectTable<FenceRecord>(loop)),
                 (order, done) -> done.accept(PromotionAuthority.Answer.REJECTED),
                 rows -> Option.none());
         FleetMembership membership = new FleetMembership(
