Run operations for no account but the one that holds the caller's key

Cause: before each statement the session checked that some account held the key, not that it was still the same one. Ruled out: a configuration that was late on the VM; single statements ran for the new account at once.

Change: Authorization.revocation compares the account that holds the key now with the one under which the operation began. It is asked before each statement and commit of a transaction and whenever an operation gets a connection, so that what waits or is tried again is covered, on lent connections too. Callers get ABORTED if the key has moved, so that they repeat the operation, and KEY_UNKNOWN if it was withdrawn. A refused commit ends the transaction. The engine behind the PostgreSQL listener checks a key against its own account already.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
@@ -43,6 +43,12 @@
             connection.release();
             return;
         }
+        Option<StatementOutcome.Failed> revoked = revocation();
+        if (revoked.isDefined()) {
+            connection.release();
+            fail(revoked.get().code(), revoked.get().text());
+            return;
+        }
         attempts++;
         currentConnection = Option.some(connection);
         attemptStartMillis = session().nowMillis();
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerOperation.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerOperation.java
@@ -1,5 +1,6 @@
 package org.hyssopswitch.pool.session;
 
+import io.vavr.control.Option;
 import java.util.HashSet;
 import java.util.Set;
 import org.hyssopswitch.core.admission.AdmissionPermit;
@@ -7,6 +8,7 @@
 import org.hyssopswitch.pool.catalog.Account;
 import org.hyssopswitch.pool.catalog.Route;
 import org.hyssopswitch.pool.endpoint.ConnectionRequest;
+import org.hyssopswitch.pool.statement.StatementOutcome;
 
 /** Common part of autocommit statements and transactions, which wait for an endpoint. */
 abstract class CallerOperation implements ConnectionRequest {
@@ -16,8 +18,7 @@
 
     private final Set<String> excludedEndpoints = new HashSet<>();
     private final CallerSession session;
-    private final Route route;
-    private final Account account;
+    private final Authorization authorization;
     private final AdmissionPermit permit;
     private final boolean primaryOnly;
     private long assignBeforeMillis;
@@ -25,19 +26,18 @@
     CallerOperation(CallerSession session, Authorization authorization, AdmissionPermit permit, boolean primaryOnly) {
         this.permit = permit;
         this.session = session;
-        this.route = authorization.route();
-        this.account = authorization.account();
-        this.primaryOnly = primaryOnly || !route.allowsReplicaReads();
+        this.authorization = authorization;
+        this.primaryOnly = primaryOnly || !route().allowsReplicaReads();
     }
 
     @Override
     public final Account account() {
-        return account;
+        return authorization.account();
     }
 
     @Override
     public final int priority() {
-        return route.priority();
+        return route().priority();
     }
 
     @Override
@@ -47,7 +47,7 @@
 
     @Override
     public final long stalenessMillis() {
-        return route.stalenessMillis();
+        return route().stalenessMillis();
     }
 
     @Override
@@ -62,7 +62,7 @@
 
     @Override
     public final long unavailableWaitMillis() {
-        return Math.round(route.objectiveMillis() * UNSERVABLE_WAIT_RATIO);
+        return Math.round(route().objectiveMillis() * UNSERVABLE_WAIT_RATIO);
     }
 
     @Override
@@ -75,7 +75,12 @@
     }
 
     final Route route() {
-        return route;
+        return authorization.route();
+    }
+
+    /** Returns why the operation may not go on under the current configuration; nothing if it may. */
+    final Option<StatementOutcome.Failed> revocation() {
+        return session.revocation(authorization);
     }
 
     final void exclude(String endpointId) {
@@ -89,7 +94,7 @@
 
     /** Queues the operation for an endpoint; it is refused if none is assigned within latency objective and timeout. */
     final void submit() {
-        long maxWaitMillis = Math.min(route.timeoutMillis(), route.objectiveMillis());
+        long maxWaitMillis = Math.min(route().timeoutMillis(), route().objectiveMillis());
         assignBeforeMillis = session.nowMillis() + maxWaitMillis;
         session.submit(this);
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -179,6 +179,11 @@
         floor = floor.max(position);
     }
 
+    /** Returns why what was authorized may not go on under the current configuration; nothing if it may. */
+    Option<StatementOutcome.Failed> revocation(Authorization authorization) {
+        return authorization.revocation(sessions.catalog(), key);
+    }
+
     void submit(CallerOperation operation) {
         sessions.submit(operation);
     }
@@ -339,14 +344,24 @@
             transaction = Option.none();
             fail(ErrorCode.ABORTED, "the transaction was rolled back");
         } else if (!sessions.mayStart(transaction.get().route())) {
-            transaction.get().rollback();
-            transaction = Option.none();
-            fail(ErrorCode.ABORTED, STOPPING);
-        } else if (checkKey()) {
-            transaction.get().commit(new ExecutableStatement(id, commit.text(), Option.none(), false));
+            refuseCommit(ErrorCode.ABORTED, STOPPING);
+        } else {
+            transaction
+                    .get()
+                    .revocation()
+                    .peek(revoked -> refuseCommit(revoked.code(), revoked.text()))
+                    .onEmpty(() ->
+                            transaction.get().commit(new ExecutableStatement(id, commit.text(), Option.none(), false)));
         }
     }
 
+    /** Rolls back instead of committing. */
+    private void refuseCommit(ErrorCode code, String reason) {
+        transaction.get().rollback();
+        transaction = Option.none();
+        fail(code, reason);
+    }
+
     private void execute(ExecutableStatement statement) {
         if (transaction.isDefined()) {
             if (mayContinue()) {
@@ -367,20 +382,12 @@
             fail(ErrorCode.ABORTED, STOPPING);
             return false;
         }
-        return checkKey();
-    }
-
-    /** Returns whether the caller's key is still valid; if not, rolls back the transaction and fails the statement. */
-    private boolean checkKey() {
-        Catalog catalog = sessions.catalog();
-        boolean valid = catalog.findAccount(key).isDefined()
-                || catalog.findRoute(database).exists(Route::open)
-                || transaction.exists(running -> running.route().open());
-        if (!valid) {
+        Option<StatementOutcome.Failed> revoked = transaction.get().revocation();
+        revoked.forEach(failure -> {
             transaction.get().rollback();
-            fail(ErrorCode.KEY_UNKNOWN, "the key has been withdrawn");
-        }
-        return valid;
+            fail(failure.code(), failure.text());
+        });
+        return revoked.isEmpty();
     }
 
     /** Checks route, key and rate for a new operation; fails the statement if the operation is refused. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -82,6 +82,12 @@
             assigned.release();
             return;
         }
+        Option<StatementOutcome.Failed> revoked = revocation();
+        if (revoked.isDefined()) {
+            assigned.release();
+            fail(revoked.get().code(), revoked.get().text());
+            return;
+        }
         attempts++;
         connection = Option.some(assigned);
         assigned.applySession(session().values(), currentStatement.get().shape());
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/CallerSessionTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/session/CallerSessionTests.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.hyssopswitch.core.connection.TransactionStatus;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.statement.CallerStatement;
@@ -196,6 +197,76 @@
         assertEquals(List.of("w1"), pool.endpoint("e1").executedStatements());
     }
 
+    /** Guards against a transaction that goes on for the client account that no longer holds the caller's key. */
+    @Test
+    void endsATransactionWhoseKeyNowBelongsToAnotherAccount() {
+        for (boolean readOnly : List.of(false, true)) {
+            giveKeyTo("small");
+            FakeCaller caller = pool.connectCaller(TestPool.READ_YOUR_WRITES);
+            caller.send("b", new CallerStatement.Begin(readOnly));
+            caller.read("before");
+            pool.advance(100);
+            assertTrue(caller.lastReply().succeeded());
+            giveKeyTo("large");
+            caller.read("after");
+            pool.advance(100);
+            assertEquals(ErrorCode.ABORTED, caller.lastError());
+            caller.send("r", new CallerStatement.Rollback());
+            caller.read("next");
+            pool.advance(100);
+            assertTrue(caller.lastReply().succeeded());
+        }
+        assertEquals(List.of(), executed("after"));
+    }
+
+    /** Guards against a commit for the client account that no longer holds the caller's key. */
+    @Test
+    void commitsNothingOnceTheKeyBelongsToAnotherAccount() {
+        FakeCaller caller = pool.connectCaller(TestPool.READ_YOUR_WRITES);
+        caller.send("b", new CallerStatement.Begin(false));
+        caller.write("w1");
+        pool.advance(100);
+        giveKeyTo("large");
+        caller.send("c", new CallerStatement.Commit("COMMIT"));
+        pool.advance(100);
+        assertEquals(ErrorCode.ABORTED, caller.lastError());
+        assertEquals(TransactionStatus.IDLE, caller.lastReply().status());
+        assertEquals(List.of(), executed("c"));
+    }
+
+    /** Guards against statements that wait for a connection and then run for an account that has lost the key. */
+    @Test
+    void runsNoWaitingStatementOnceTheKeyBelongsToAnotherAccount() {
+        FakeCaller moved = pool.connectCaller(TestPool.READ_YOUR_WRITES);
+        FakeCaller inTransaction = pool.connectCaller(TestPool.READ_YOUR_WRITES);
+        pool.advance(100);
+        pool.endpoint("e1").setConnectionsExhausted(true);
+        pool.endpoint("e1").breakConnections();
+        pool.advance(20);
+        inTransaction.send("b", new CallerStatement.Begin(false));
+        moved.write("w1");
+        inTransaction.write("w2");
+        pool.advance(20);
+        giveKeyTo("large");
+        pool.endpoint("e1").setConnectionsExhausted(false);
+        pool.advance(1_000);
+        assertEquals(ErrorCode.ABORTED, moved.lastError());
+        assertEquals(ErrorCode.ABORTED, inTransaction.lastError());
+        assertEquals(List.of(), executed("w1"));
+        assertEquals(List.of(), executed("w2"));
+    }
+
+    private void giveKeyTo(String account) {
+        pool.configure(TestPool.catalog(CONNECTIONS, Map.of(TestPool.KEY, TestPool.account(account))), VMS);
+    }
+
+    /** Returns the endpoints that executed a statement. */
+    private List<String> executed(String statementId) {
+        return Stream.of("e1", "e2", "e3")
+                .filter(id -> pool.endpoint(id).executedStatements().contains(statementId))
+                .toList();
+    }
+
     @Test
     void preparesAStatementWhereItIsExecuted() {
         FakeCaller caller = pool.connectCaller(TestPool.LATEST);
