Order the members of the fence and name its states by what they mean

Reading the change as a newcomer: private members behind the others, a predicate of the commands instead of a chain of types, and names that say what they guard. No behaviour changes; the tests of promotions, sessions and the wire pass.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
@@ -41,7 +41,7 @@
     private static final long LATE_COMMAND_MILLIS = 4_000;
 
     /** Time in which an earlier leader, which learns of the change from the record only, may still resume, milliseconds. */
-    private static final long FOREIGN_RESUME_MILLIS = 300;
+    private static final long EARLIER_LEADER_RESUME_MILLIS = 300;
 
     /** Time after which an order that was not answered is not carried out any more, milliseconds. */
     private static final long LATE_ORDER_MILLIS = 10_000;
@@ -66,14 +66,14 @@
     private boolean ordered;
     private long orderLateUntilMillis;
     private long orderEffectiveUntilMillis;
-    private long quietUntilMillis;
+    private long plannedNotBeforeMillis;
 
     GroupFence(DatabaseGroup group, FenceContext context) {
         this.group = group;
         this.context = context;
         this.resumeLateUntilMillis = nowMillis();
         this.orderLateUntilMillis = resumeLateUntilMillis;
-        this.quietUntilMillis = resumeLateUntilMillis;
+        this.plannedNotBeforeMillis = resumeLateUntilMillis;
     }
 
     /** Takes over a pause that an earlier leader has recorded. It may have ordered the promotion just before it ended. */
@@ -125,7 +125,7 @@
         return position;
     }
 
-    /** Sets the position of the record, which no replica is paused for. */
+    /** Sets the position of a record that another leader wrote. */
     void setPosition(StorePosition found) {
         position = Option.some(found);
     }
@@ -143,10 +143,10 @@
     /**
      * Whether a promotion may start.
      *
-     * @param planned whether it is planned; such a one waits until late copies of the latest order have no effect
+     * @param planned whether it is planned; one that is waits until late copies of the latest order have no effect
      */
     boolean mayPromote(boolean planned) {
-        return !busy && (!planned || nowMillis() >= quietUntilMillis);
+        return !busy && (!planned || nowMillis() >= plannedNotBeforeMillis);
     }
 
     /**
@@ -157,13 +157,13 @@
      */
     void pause(ReplicationFence fence, Consumer<Option<CommitHolderSurvey.Result>> done) {
         boolean resumeLate = nowMillis() < resumeLateUntilMillis;
-        if (closed || busy || isForeign() || resumeLate) {
+        if (closed || busy || isUnclaimed() || resumeLate) {
             LOG.info(
-                    "event=fence_postponed group={} leading={} busy={} foreign={} resume_late={}",
+                    "event=fence_postponed group={} leading={} busy={} unclaimed={} resume_late={}",
                     group.name(),
                     !closed,
                     busy,
-                    isForeign(),
+                    isUnclaimed(),
                     resumeLate);
             done.accept(Option.none());
             return;
@@ -204,16 +204,6 @@
         }
     }
 
-    private void orderUnanswered() {
-        orderLateUntilMillis = nowMillis() + LATE_ORDER_MILLIS;
-        orderEffectiveUntilMillis = orderLateUntilMillis + EFFECT_MILLIS;
-    }
-
-    /** Whether copies of the order that were not answered may still be carried out. */
-    private boolean isUncertain() {
-        return nowMillis() < orderLateUntilMillis;
-    }
-
     /** Goes on to end the pause, if there is one; called every few milliseconds while no promotion is under way. */
     void step() {
         long now = nowMillis();
@@ -234,8 +224,18 @@
         }
     }
 
+    private void orderUnanswered() {
+        orderLateUntilMillis = nowMillis() + LATE_ORDER_MILLIS;
+        orderEffectiveUntilMillis = orderLateUntilMillis + EFFECT_MILLIS;
+    }
+
+    /** Whether copies of the order that were not answered may still be carried out. */
+    private boolean isUncertain() {
+        return nowMillis() < orderLateUntilMillis;
+    }
+
     /** Ends the pause, because no promotion of the target takes effect any more. */
-    void release() {
+    private void release() {
         if (stage == Stage.FENCED && !busy) {
             record(Stage.RELEASING, "", released -> {
                 if (released) {
@@ -260,7 +260,7 @@
 
     private void takenEffect() {
         if (isUncertain()) {
-            quietUntilMillis = nowMillis() + EFFECT_MILLIS;
+            plannedNotBeforeMillis = nowMillis() + EFFECT_MILLIS;
         }
         release();
     }
@@ -338,8 +338,8 @@
                 done.accept(false);
             } else if (result.isRight()) {
                 position = Option.some(result.get().position());
-                if (isForeign()) {
-                    resumeLateUntilMillis = Math.max(resumeLateUntilMillis, nowMillis() + FOREIGN_RESUME_MILLIS);
+                if (isUnclaimed()) {
+                    resumeLateUntilMillis = Math.max(resumeLateUntilMillis, nowMillis() + EARLIER_LEADER_RESUME_MILLIS);
                 }
                 recorded = Option.some(value);
                 enter(value);
@@ -390,13 +390,13 @@
         }
         position = changed.map(VersionedObject::position);
         recorded = found;
-        if (isForeign()) {
+        if (isUnclaimed()) {
             inherit(changed.get());
         }
     }
 
     /** Whether an earlier leader has recorded a pause that this one has not taken over in the store. */
-    private boolean isForeign() {
+    private boolean isUnclaimed() {
         return recorded.exists(record -> record.leadership() < context.leadership() && record.stage() != Stage.OPEN);
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/EndpointCommand.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/statement/EndpointCommand.java
@@ -8,10 +8,7 @@
 
     /** Whether the endpoint replies with its replication status. */
     default boolean reportsStatus() {
-        return this instanceof QueryStatus
-                || this instanceof StepDown
-                || this instanceof Pause
-                || this instanceof Resume;
+        return false;
     }
 
     /**
@@ -64,22 +61,46 @@
             implements EndpointCommand {}
 
     /** Queries the role, term and log position of the endpoint. */
-    record QueryStatus() implements EndpointCommand {}
+    record QueryStatus() implements EndpointCommand {
+
+        @Override
+        public boolean reportsStatus() {
+            return true;
+        }
+    }
 
     /**
      * Demotes a primary of a lower term to a replica.
      *
      * @param term term above that of the primary
      */
-    record StepDown(long term) implements EndpointCommand {}
+    record StepDown(long term) implements EndpointCommand {
+
+        @Override
+        public boolean reportsStatus() {
+            return true;
+        }
+    }
 
     /**
      * Stops a replica from receiving the log until it is resumed, promoted or started again.
      *
      * @param term term above the latest that the replica knows
      */
-    record Pause(long term) implements EndpointCommand {}
+    record Pause(long term) implements EndpointCommand {
+
+        @Override
+        public boolean reportsStatus() {
+            return true;
+        }
+    }
 
     /** Lets a paused replica receive the log again. */
-    record Resume() implements EndpointCommand {}
+    record Resume() implements EndpointCommand {
+
+        @Override
+        public boolean reportsStatus() {
+            return true;
+        }
+    }
 }
