Wait longer for orders to promote that were not answered

The description of the users' disruptions says that such an order may be carried out up to 12 s later; the pause of the replicas ended 10 s after it, and the 3 s that a promotion takes. It now ends 15 s and 3 s after it.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
@@ -44,7 +44,7 @@
     private static final long EARLIER_LEADER_RESUME_MILLIS = 300;
 
     /** Time after which an order that was not answered is not carried out any more, milliseconds. */
-    private static final long LATE_ORDER_MILLIS = 10_000;
+    private static final long LATE_ORDER_MILLIS = 15_000;
 
     /** Time in which a promotion that an endpoint has begun takes effect, milliseconds. */
     private static final long EFFECT_MILLIS = ReplicaPromotion.PROMOTION_TIMEOUT_MILLIS;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
@@ -60,7 +60,7 @@
             fleet.reportCut(3);
             fleet.advance(600);
             fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
-            fleet.advance(16_000);
+            fleet.advance(22_000);
         }
         fleet.assertNothingLost();
         fleet.assertNothingPaused();
@@ -76,7 +76,7 @@
         assertEquals(1, fleet.pausedReplicas());
         assertTrue(fleet.replication().takeLongestGapMillis() <= STEADY_GAP_MILLIS);
         fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
-        fleet.advance(16_000);
+        fleet.advance(22_000);
         assertEquals(0, fleet.promotions());
         fleet.assertNothingPaused();
         assertTrue(fleet.replication().takeLongestGapMillis() <= STEADY_GAP_MILLIS);
@@ -94,7 +94,7 @@
         assertEquals(1, fleet.pausedReplicas());
         fleet.replication().setOutcome(FakeReplication.Outcome.ANSWERED);
         fleet.startStopped();
-        fleet.advance(20_000);
+        fleet.advance(25_000);
         assertEquals(0, fleet.promotions());
         fleet.assertNothingPaused();
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeReplication.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeReplication.java
@@ -20,7 +20,7 @@
     private static final long ANSWER_MILLIS = 5;
     private static final long EFFECT_MILLIS = 400;
     private static final int MAX_RECEIVE_MILLIS = 60;
-    private static final int MAX_LATE_MILLIS = 8_000;
+    private static final int MAX_LATE_MILLIS = 12_000;
 
     private final ManualLoop loop;
     private final List<FakeEndpoint> endpoints;
