Give the leadership up when the list shows the pause of a later leader

A leader that had been replaced without learning of it lists the records of pauses every 10 s. A record of a later leadership now ends the leadership, as it does where a write or a read of one record meets it.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionFences.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PromotionFences.java
@@ -135,6 +135,10 @@
     }
 
     private void inherit(VersionedObject<FenceRecord> object) {
+        if (object.value().exists(record -> record.leadership() > leadership())) {
+            leadershipLost();
+            return;
+        }
         boolean fenced = object.value().exists(record -> record.stage() != FenceRecord.Stage.OPEN);
         groups.find(object.name()).forEach(group -> {
             GroupFence fence = of(group);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionReplayTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionReplayTests.java
@@ -30,8 +30,13 @@
     /** Longest time without an acknowledged commit afterwards, milliseconds. */
     private static final long STEADY_GAP_MILLIS = 150;
 
+    /** Seed in which a leader that has been replaced found the pause of its successor and took it over. */
+    private static final long LEADERS_TAKE_OVER_FROM_EACH_OTHER = 1_633;
+
     static Stream<Long> seeds() {
-        return LongStream.rangeClosed(1, Long.getLong("hyssopswitch.promotion.seeds", 60))
+        return LongStream.concat(
+                        LongStream.rangeClosed(1, Long.getLong("hyssopswitch.promotion.seeds", 60)),
+                        LongStream.of(LEADERS_TAKE_OVER_FROM_EACH_OTHER))
                 .boxed();
     }
 
