Tests: build the entry of a draining endpoint in one place

Change: FakeEndpoint.entry takes that flag; the three call it. Assertions are unchanged, no product code changes.

--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/LostPrimaryTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/endpoint/LostPrimaryTests.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.hyssopswitch.core.position.LogPosition;
-import org.hyssopswitch.core.store.StorePosition;
-import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.statement.ErrorCode;
 import org.hyssopswitch.pool.testing.FakeCaller;
 import org.hyssopswitch.pool.testing.TestPool;
@@ -90,20 +88,7 @@
     @Test
     void refusesWritesForAPrimaryThatHasBeenDrainingForLong() {
         warmUp();
-        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
-        pool.updateEndpoint(
-                new Endpoint(
-                        entry.id(),
-                        entry.group(),
-                        entry.host(),
-                        entry.port(),
-                        entry.dataCentre(),
-                        true,
-                        true,
-                        1,
-                        0,
-                        new StorePosition(0, 7)),
-                VMS);
+        pool.updateEndpoint(pool.endpoint("e1").entry("group", "dc-e1", true, 7), VMS);
         caller.write("w1");
         pool.advance(100);
         assertTrue(caller.lastReply().succeeded());
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PrimaryFailoverTests.java
@@ -10,8 +10,6 @@
 import java.util.Random;
 import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StoreEraTracker;
-import org.hyssopswitch.core.store.StorePosition;
-import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryUnreachableReport;
 import org.hyssopswitch.pool.testing.FakeCaller;
@@ -185,20 +183,7 @@
     }
 
     private void drainPrimary() {
-        Endpoint entry = pool.endpoint("e1").entry("group", "dc-e1", 7);
-        pool.updateEndpoint(
-                new Endpoint(
-                        entry.id(),
-                        entry.group(),
-                        entry.host(),
-                        entry.port(),
-                        entry.dataCentre(),
-                        true,
-                        true,
-                        1,
-                        0,
-                        new StorePosition(0, 7)),
-                VMS);
+        pool.updateEndpoint(pool.endpoint("e1").entry("group", "dc-e1", true, 7), VMS);
     }
 
     private List<String> promoted() {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousFleet.java
@@ -182,20 +182,8 @@
     }
 
     private void list(FakeEndpoint endpoint) {
-        Endpoint entry = endpoint.entry("group", "dc-" + endpoint.id(), ++revision);
-        pool.updateEndpoint(
-                new Endpoint(
-                        entry.id(),
-                        entry.group(),
-                        entry.host(),
-                        entry.port(),
-                        entry.dataCentre(),
-                        draining.contains(entry.id()),
-                        entry.primary(),
-                        entry.bornMillis(),
-                        0,
-                        new StorePosition(0, revision)),
-                VMS);
+        String id = endpoint.id();
+        pool.updateEndpoint(endpoint.entry("group", "dc-" + id, draining.contains(id), ++revision), VMS);
     }
 
     /** One process that may lead. Once it has ended, nothing that it began goes on. */
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -70,13 +70,18 @@
 
     /** Returns the entry that the platform lists. */
     public Endpoint entry(String group, String dataCentre, long revision) {
+        return entry(group, dataCentre, false, revision);
+    }
+
+    /** Returns the entry that the platform lists of an endpoint that may have announced that it stops. */
+    public Endpoint entry(String group, String dataCentre, boolean draining, long revision) {
         return new Endpoint(
                 id,
                 group,
                 "10.0.0." + id.substring(1),
                 1000,
                 dataCentre,
-                false,
+                draining,
                 primary,
                 1,
                 0,
