--- a/review/standin-3/Env.java
+++ b/review/standin-3/Env.java
@@ -199,6 +199,14 @@
         start(vm);
     }
 
+    /** Kills the process of a machine and starts it again after a short delay. */
+    void killAndStart(Vm vm, long delayMillis) throws IOException, InterruptedException {
+        note("SIGKILL machine=" + vm.name);
+        vm.process.destroyForcibly().waitFor();
+        sleep(delayMillis);
+        start(vm);
+    }
+
     void requireReady(Vm vm) {
         if (!awaitReady(vm, 20_000)) {
             throw new IllegalStateException("machine " + vm.name + " is not ready");
--- a/review/standin-3/Group.java
+++ b/review/standin-3/Group.java
@@ -60,6 +60,25 @@
         server.acceptAll();
     }
 
+    /** Reports that a server is going to end. */
+    void drain(String id) {
+        find(id).register("draining");
+    }
+
+    /** Ends a server: its connections are closed, and its entry is removed. */
+    void end(String id) throws IOException {
+        Server server = find(id);
+        server.socket.close();
+        for (Socket connection : server.open) {
+            connection.close();
+        }
+        store.remove("servers", id);
+    }
+
+    private synchronized Server find(String id) {
+        return servers.stream().filter(server -> server.id.equals(id)).findFirst().orElseThrow();
+    }
+
     private synchronized boolean isPrimary(Server server) {
         return server == primary;
     }
@@ -94,6 +113,7 @@
         private final Semaphore slot = new Semaphore(slots, true);
         private final Semaphore room = new Semaphore(maxConnections);
         private final long born = System.currentTimeMillis();
+        private final List<Socket> open = new CopyOnWriteArrayList<>();
         private long sequence;
 
         Server(String id, String host, String zone) throws IOException {
@@ -132,6 +152,7 @@
 
         private void serve(Socket accepted) {
             boolean counted = false;
+            open.add(accepted);
             try (Socket connection = accepted) {
                 connection.setTcpNoDelay(true);
                 BufferedReader in = new BufferedReader(
@@ -156,6 +177,7 @@
             } catch (IOException e) {
                 // The far end has closed the connection, which rolls back.
             } finally {
+                open.remove(accepted);
                 if (counted) {
                     room.release();
                 }
