--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/endpoint/DatabaseGroup.java
@@ -220,6 +220,16 @@
         return EndpointProbe.start(process, command, context, callback);
     }
 
+    /**
+     * Opens a connection over which the replication status of an endpoint is queried again and again.
+     *
+     * @param endpoint the endpoint
+     * @param statuses receives the statuses
+     */
+    public EndpointStatusFeed feedStatus(Endpoint endpoint, Consumer<ReplicationStatus> statuses) {
+        return EndpointStatusFeed.start(endpoint, context, statuses);
+    }
+
     /**
      * Asks an endpoint whether it is the primary. If it is, it becomes the primary that this VM uses.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderTracker.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderTracker.java
@@ -69,6 +69,11 @@
         return Option.of(tracked.get(group.name())).flatMap(known -> known.merged(group));
     }
 
+    /** Returns the holders of a group that are recorded, of which the next leader knows as well. */
+    Option<CommitHolders> findRecorded(DatabaseGroup group) {
+        return Option.of(tracked.get(group.name())).flatMap(known -> known.recorded);
+    }
+
     /**
      * Records holders before a promotion is ordered.
      *
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
@@ -130,6 +130,11 @@
         position = Option.some(found);
     }
 
+    /** Returns the endpoint that may be promoted while others may be paused; nothing once no promotion takes effect. */
+    Option<String> promoting() {
+        return Option.when(stage == Stage.FENCED, target);
+    }
+
     /** Returns the endpoint whose promotion was ordered and may still take effect. */
     Option<String> pendingTarget() {
         return Option.when(ordered && nowMillis() < orderEffectiveUntilMillis, target);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
@@ -9,10 +9,13 @@
 import org.hyssopswitch.pool.catalog.Endpoint;
 import org.hyssopswitch.pool.endpoint.DatabaseGroup;
 import org.hyssopswitch.pool.endpoint.DatabaseGroups;
+import org.hyssopswitch.pool.peer.CommitConfirmation;
+import org.hyssopswitch.pool.peer.CommitConfirmationRequest;
 import org.hyssopswitch.pool.peer.LeadershipPing;
 import org.hyssopswitch.pool.peer.LeadershipPong;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.peer.PrimaryUnreachableReport;
+import org.hyssopswitch.pool.session.CommitGuard;
 import org.hyssopswitch.proxy.net.DecisionLoop;
 
 /** Detects groups that need another primary and, on the promotion leader, has a replica promoted. */
@@ -44,6 +47,8 @@
     private final PromotionLeaderElection election;
     private final CommitHolderTracker commitHolders;
     private final PromotionFences fences;
+    private final LeaderCommitConfirmer commitConfirmer;
+    private final CommitConfirmations commitConfirmations;
     private final UnreachabilityReports reports = new UnreachabilityReports();
     private final Map<String, Long> unusableSinceMillis = new HashMap<>();
     private final Map<String, ReplicaPromotion> promotions = new HashMap<>();
@@ -79,6 +84,8 @@
         this.election = new PromotionLeaderElection(self, tables.leadership(), eras, loop, random, peers);
         this.commitHolders = new CommitHolderTracker(tables.commitHolders(), loop);
         this.fences = new PromotionFences(tables.fences(), groups, election, commitHolders, loop);
+        this.commitConfirmer = new LeaderCommitConfirmer(election, commitHolders, fences, loop, this::sendConfirmation);
+        this.commitConfirmations = new CommitConfirmations(groups, election, loop, this::sendConfirmationRequest);
         this.peers = peers;
         this.lastReportMillis = loop.nowMillis();
     }
@@ -111,9 +118,16 @@
         election.setCandidate(eligible);
     }
 
+    /** Returns the guard of the commits of groups with synchronous replication. */
+    public CommitGuard commitGuard() {
+        return commitConfirmations;
+    }
+
     /** The store has come back from a copy, and the leadership must be taken again. */
     public void eraAdvanced() {
         election.eraAdvanced();
+        commitConfirmer.reset();
+        commitConfirmations.eraAdvanced();
         commitHolders.reset();
         fences.reset();
     }
@@ -147,12 +161,15 @@
         if (!election.isLeader()) {
             commitHolders.reset();
             fences.reset();
+            commitConfirmer.reset();
         } else if (groups.all().stream().anyMatch(PrimaryFailover::isSynchronous)) {
             fences.tick();
+            commitConfirmer.tick();
         }
         if (reportDue) {
             lastReportMillis = now;
         }
+        commitConfirmations.tick();
         election.tick(urgent);
     }
 
@@ -169,6 +186,12 @@
             election.pongReceived(vm, pong);
         } else if (message instanceof PrimaryUnreachableReport report) {
             reports.add(report.group(), report.endpoint(), vm, loop.nowMillis());
+        } else if (message instanceof CommitConfirmationRequest request) {
+            groups.find(request.group())
+                    .filter(PrimaryFailover::isSynchronous)
+                    .forEach(group -> commitConfirmer.request(vm, request, group));
+        } else if (message instanceof CommitConfirmation confirmation) {
+            commitConfirmations.received(confirmation);
         }
     }
 
@@ -223,6 +246,22 @@
                 : new MostAdvancedReplicaSelector(group, loop);
     }
 
+    private void sendConfirmationRequest(String leader, CommitConfirmationRequest request) {
+        sendOrHandle(leader, request);
+    }
+
+    private void sendConfirmation(String vm, CommitConfirmation confirmation) {
+        sendOrHandle(vm, confirmation);
+    }
+
+    private void sendOrHandle(String vm, PeerMessage message) {
+        if (vm.equals(self)) {
+            received(self, message);
+        } else {
+            peers.send(vm, message);
+        }
+    }
+
     private static boolean isSynchronous(DatabaseGroup group) {
         return group.declaration().syncReplicas() > 0;
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/peer/DefaultPeerLinks.java
@@ -111,6 +111,8 @@
                 .register(124, PositionAnswer.class)
                 .register(125, StoreSyncRequest.class)
                 .register(127, StoreSyncResponse.class)
+                .register(128, CommitConfirmationRequest.class)
+                .register(129, CommitConfirmation.class)
                 .build();
     }
 
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/AutocommitStatement.java
@@ -28,6 +28,7 @@
     private long attemptStartMillis;
     private int attempts;
     private boolean hedged;
+    private boolean awaitingConfirmation;
     private boolean done;
 
     AutocommitStatement(
@@ -73,12 +74,14 @@
             return;
         }
         if (nowMillis - startedMillis >= route().timeoutMillis()) {
-            boolean writeSent = statement.write() && currentConnection.isDefined();
+            boolean writeSent = awaitingConfirmation || (statement.write() && currentConnection.isDefined());
             Option<PooledConnection> unanswered = currentConnection;
             if (!done) {
                 fail(
                         writeSent ? ErrorCode.TIMEOUT : ErrorCode.OVERLOADED,
-                        "no answer from endpoint " + endpointId() + " within the route's timeout");
+                        awaitingConfirmation
+                                ? "the commit was not confirmed within the route's timeout"
+                                : "no answer from endpoint " + endpointId() + " within the route's timeout");
             }
             unanswered.forEach(PooledConnection::discard);
         } else if (currentConnection.isDefined() && !statement.write() && !hedged) {
@@ -144,6 +147,20 @@
         session().completeStatement(reply);
     }
 
+    /** Answers a write once its commit outlasts every promotion; its connection is not needed meanwhile. */
+    private void awaitConfirmation(Reply reply) {
+        String endpoint = endpointId();
+        currentConnection = Option.none();
+        awaitingConfirmation = true;
+        session().confirmCommit(route(), reply.position(), kept -> {
+            if (kept) {
+                succeed(reply);
+            } else {
+                fail(ErrorCode.IN_DOUBT, "endpoint " + endpoint + " was replaced before the commit was confirmed");
+            }
+        });
+    }
+
     /** Handles an error that an endpoint reported. */
     private void handleError(PooledConnection connection, ErrorCode code, String text) {
         switch (code) {
@@ -191,6 +208,8 @@
             }
             if (reply.outcome() instanceof StatementOutcome.Failed error) {
                 handleError(connection, error.code(), error.text());
+            } else if (statement.write() && !done) {
+                awaitConfirmation(reply);
             } else {
                 succeed(reply);
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerSession.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.hyssopswitch.core.admission.AdmissionListener;
 import org.hyssopswitch.core.admission.AdmissionPermit;
 import org.hyssopswitch.core.connection.TransactionStatus;
@@ -188,6 +189,10 @@
         sessions.submit(operation);
     }
 
+    void confirmCommit(Route route, Option<LogPosition> commit, Consumer<Boolean> done) {
+        sessions.confirmCommit(route, commit, done);
+    }
+
     /** Logs a retry of the current statement. */
     void logRetry(String endpointId, ErrorCode code, int attempt) {
         currentRequest.forEach(running -> sessions.log().requestRetried(running.id(), endpointId, code, attempt));
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -25,6 +25,7 @@
     private Option<PooledConnection> connection = Option.none();
     private Option<ExecutableStatement> currentStatement = Option.none();
     private boolean committing;
+    private boolean awaitingConfirmation;
     private boolean statementSucceeded;
     private boolean hasWritten;
     private boolean ended;
@@ -108,10 +109,12 @@
             return;
         }
         if (currentStatement.isDefined() && nowMillis - statementStartMillis >= route().timeoutMillis()) {
-            boolean outcomeUnknown = committing && connection.isDefined() && hasWritten;
+            boolean outcomeUnknown = awaitingConfirmation || (committing && connection.isDefined() && hasWritten);
             fail(
                     outcomeUnknown ? ErrorCode.TIMEOUT : ErrorCode.ABORTED,
-                    "no answer from endpoint " + endpointId() + " within the route's timeout");
+                    awaitingConfirmation
+                            ? "the commit was not confirmed within the route's timeout"
+                            : "no answer from endpoint " + endpointId() + " within the route's timeout");
         } else if (currentStatement.isEmpty()
                 && connection.isDefined()
                 && nowMillis - idleSinceMillis >= session().transactionIdleMillis()) {
@@ -171,6 +174,25 @@
         }
     }
 
+    /** Answers a commit once it outlasts every promotion; the connection is not needed meanwhile. */
+    private void awaitConfirmation(PooledConnection pooled, Reply reply) {
+        awaitingConfirmation = true;
+        connection = Option.none();
+        session().confirmCommit(route(), reply.position(), kept -> {
+            if (ended) {
+                return;
+            }
+            if (kept) {
+                statementCompleted(reply);
+            } else {
+                fail(
+                        ErrorCode.IN_DOUBT,
+                        "endpoint " + pooled.endpointId() + " was replaced before the commit was confirmed");
+            }
+        });
+        pooled.release();
+    }
+
     private void statementCompleted(Reply reply) {
         currentStatement = Option.none();
         idleSinceMillis = session().nowMillis();
@@ -296,6 +318,8 @@
                 handleStatementError(pooled, error);
             } else if (!committing && reply.status() != TransactionStatus.OPEN) {
                 fail(ErrorCode.ABORTED, "the endpoint ended the transaction");
+            } else if (committing && hasWritten) {
+                awaitConfirmation(pooled, reply);
             } else {
                 statementCompleted(reply);
             }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/Sessions.java
@@ -4,8 +4,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.hyssopswitch.core.drain.StopSchedule;
+import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.pool.catalog.Catalog;
 import org.hyssopswitch.pool.catalog.Route;
 import org.hyssopswitch.pool.endpoint.DatabaseGroups;
@@ -23,6 +25,7 @@
     private final AccountLimiter limiter;
     private final RequestLog log;
     private final RequestMetrics metrics;
+    private final CommitGuard commitGuard;
     private final LongSupplier clock;
     private final Set<CallerSession> openSessions = new LinkedHashSet<>();
     private Catalog catalog = Catalog.EMPTY;
@@ -35,14 +38,21 @@
      * @param limiter rate limiter of client accounts
      * @param log log of requests
      * @param metrics counters and latencies of requests
+     * @param commitGuard decides when callers are told of commits
      * @param clock milliseconds of the monotonic clock
      */
     public Sessions(
-            DatabaseGroups groups, AccountLimiter limiter, RequestLog log, RequestMetrics metrics, LongSupplier clock) {
+            DatabaseGroups groups,
+            AccountLimiter limiter,
+            RequestLog log,
+            RequestMetrics metrics,
+            CommitGuard commitGuard,
+            LongSupplier clock) {
         this.groups = groups;
         this.limiter = limiter;
         this.log = log;
         this.metrics = metrics;
+        this.commitGuard = commitGuard;
         this.clock = clock;
     }
 
@@ -166,6 +176,10 @@
                 .onEmpty(() -> operation.refused(ErrorCode.OVERLOADED, "the group is not configured"));
     }
 
+    void confirmCommit(Route route, Option<LogPosition> commit, Consumer<Boolean> done) {
+        commitGuard.confirm(route.group(), commit, done);
+    }
+
     void prefetch(CallerOperation operation, boolean evict) {
         groups.find(operation.route().group()).forEach(group -> group.prefetch(operation, evict));
     }
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/vm/PoolVm.java
@@ -28,6 +28,8 @@
 import org.hyssopswitch.pool.lease.ConnectionLender;
 import org.hyssopswitch.pool.peer.AdmissionReply;
 import org.hyssopswitch.pool.peer.AdmissionRequest;
+import org.hyssopswitch.pool.peer.CommitConfirmation;
+import org.hyssopswitch.pool.peer.CommitConfirmationRequest;
 import org.hyssopswitch.pool.peer.ConnectionShortage;
 import org.hyssopswitch.pool.peer.LeadershipPing;
 import org.hyssopswitch.pool.peer.LeadershipPong;
@@ -145,6 +147,7 @@
                 limiter,
                 new RequestLog(loop::nowMillis, this::configurationAgeMillis),
                 new RequestMetrics(metrics),
+                failover.commitGuard(),
                 loop::nowMillis);
         this.catalogWatcher = new TableWatcher<>(
                 "configuration",
@@ -333,6 +336,8 @@
         } else if (message instanceof ConnectionShortage shortage) {
             groups.find(shortage.group()).forEach(group -> group.releaseSurplusConnections(shortage.endpoint()));
         } else if (message instanceof PrimaryUnreachableReport
+                || message instanceof CommitConfirmationRequest
+                || message instanceof CommitConfirmation
                 || message instanceof LeadershipPing
                 || message instanceof LeadershipPong) {
             failover.received(vm, message);
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.hyssopswitch.pool.testing.FakeEndpoint;
 import org.hyssopswitch.pool.testing.FakeReplication;
 import org.junit.jupiter.api.Test;
 
@@ -16,6 +17,12 @@
     /** Longest time without an acknowledged commit while the primary leads, milliseconds: replicas receive within 60 ms. */
     private static final long STEADY_GAP_MILLIS = 130;
 
+    /** Age of the lists of servers, milliseconds. */
+    private static final long LIST_DELAY_MILLIS = 2_000;
+
+    /** Longest time without a commit of which callers are told while there is no leader, milliseconds. */
+    private static final long LEADERLESS_GAP_MILLIS = 500;
+
     private final SynchronousFleet fleet = new SynchronousFleet(1);
 
     /** Guards against commits that are acknowledged between the choice of the target and the switch. */
@@ -99,6 +106,47 @@
         fleet.assertNothingPaused();
     }
 
+    /** Guards against commits that only a server has received which is not listed yet, and which the target lacks. */
+    @Test
+    void tellsCallersOfNoCommitThatOnlyAnUnlistedServerHas() {
+        fleet.setListDelayMillis(LIST_DELAY_MILLIS);
+        fleet.advance(5_000);
+        fleet.cutPrimaryFromReplicas(4_000);
+        fleet.reportCut(3);
+        fleet.advance(100);
+        fleet.addReplica();
+        fleet.advance(5_000);
+        assertEquals(1, fleet.promotions());
+        assertEquals(1, fleet.replication().lost().size());
+        fleet.assertCallersWereToldOfNothingLost();
+    }
+
+    /** Guards against commits that only a paused replica has received which started again and lost its pause. */
+    @Test
+    void tellsCallersOfNoCommitThatOnlyARestartedReplicaHas() {
+        fleet.cutPrimaryFromReplicas(4_000);
+        fleet.reportCut(3);
+        fleet.advance(100);
+        FakeEndpoint paused = fleet.pausedEndpoint();
+        fleet.replication().setDeaf(paused, false);
+        fleet.replication().startAfresh(paused);
+        fleet.advance(5_000);
+        assertEquals(1, fleet.promotions());
+        assertEquals(1, fleet.replication().lost().size());
+        fleet.assertCallersWereToldOfNothingLost();
+    }
+
+    /** Guards against callers that are told of nothing while the leader does not answer. */
+    @Test
+    void tellsCallersOfCommitsThatAllReplicasHaveWhileThereIsNoLeader() {
+        fleet.setStoreUnavailable(true);
+        fleet.stopLeader();
+        fleet.advance(1_000);
+        fleet.replication().takeLongestToldGapMillis();
+        fleet.advance(5_000);
+        assertTrue(fleet.replication().takeLongestToldGapMillis() <= LEADERLESS_GAP_MILLIS);
+    }
+
     /** Guards against a target that receives nothing, of which the pause of the others would keep all commits waiting. */
     @Test
     void replacesAPrimaryWhoseOtherReplicaReceivesNothing() {
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/SynchronousFleet.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.hyssopswitch.core.failover.CommitHolders;
 import org.hyssopswitch.core.message.PeerMessage;
+import org.hyssopswitch.core.position.LogPosition;
 import org.hyssopswitch.core.store.StoreEraTracker;
 import org.hyssopswitch.core.store.StorePosition;
 import org.hyssopswitch.pool.catalog.Endpoint;
@@ -47,17 +48,21 @@
     private final FakeObjectTable<CommitHolders> holders = new FakeObjectTable<>(pool.loop());
     private final FakeObjectTable<FenceRecord> fences = new FakeObjectTable<>(pool.loop());
     private final Random random;
+    private final Random callers;
     private final FakeReplication replication;
     private final List<Candidate> candidates = new ArrayList<>();
     private final List<String> draining = new ArrayList<>();
+    private final List<String> members = new ArrayList<>(ENDPOINTS);
     private int promotions;
+    private long listDelayMillis;
     private long revision = 100;
 
     SynchronousFleet(long seed) {
         random = new Random(seed);
+        callers = new Random(seed);
         pool.configure(TestPool.catalog(CONNECTIONS, 1, Map.of(TestPool.KEY, TestPool.account("small"))), VMS);
         replication = new FakeReplication(
-                pool.loop(), ENDPOINTS.stream().map(pool::endpoint).toList(), random, this::promoted);
+                pool.loop(), ENDPOINTS.stream().map(pool::endpoint).toList(), random, new Listener());
         candidates.add(new Candidate("vm-1"));
         candidates.add(new Candidate("vm-2"));
         listAll();
@@ -84,13 +89,54 @@
         pool.advance(millis);
     }
 
+    /** Makes the lists of endpoints that the VMs see old. */
+    void setListDelayMillis(long millis) {
+        listDelayMillis = millis;
+    }
+
+    /** Starts another replica. */
+    FakeEndpoint addReplica() {
+        String id = "e" + (members.size() + 1);
+        FakeEndpoint added = pool.addEndpoint(id, CONNECTIONS);
+        members.add(id);
+        replication.join(added);
+        return added;
+    }
+
+    /** Returns the names of the endpoints that have started so far. */
+    List<String> members() {
+        return List.copyOf(members);
+    }
+
+    /** Cuts the primary off from all replicas that run now, for a while. */
+    void cutPrimaryFromReplicas(long millis) {
+        List<FakeEndpoint> replicas = members.stream()
+                .map(this::endpoint)
+                .filter(one -> !one.isPrimary())
+                .toList();
+        replicas.forEach(one -> replication.setDeaf(one, true));
+        later(millis, () -> replicas.forEach(one -> replication.setDeaf(one, false)));
+    }
+
+    void assertCallersWereToldOfNothingLost() {
+        assertEquals(List.of(), replication.toldAndLost());
+    }
+
     /** Returns the number of promotions that have taken effect. */
     int promotions() {
         return promotions;
     }
 
     long pausedReplicas() {
-        return ENDPOINTS.stream().filter(id -> endpoint(id).isPaused()).count();
+        return members.stream().filter(id -> endpoint(id).isPaused()).count();
+    }
+
+    FakeEndpoint pausedEndpoint() {
+        return members.stream()
+                .map(this::endpoint)
+                .filter(FakeEndpoint::isPaused)
+                .findFirst()
+                .orElseThrow();
     }
 
     void assertNothingLost() {
@@ -171,19 +217,36 @@
         fences.setDropResponses(drop);
     }
 
-    private void promoted(FakeEndpoint target) {
-        promotions++;
+    /** Has one of the VMs tell its caller of each commit, once it may. */
+    private final class Listener implements FakeReplication.Listener {
+
+        @Override
+        public void promoted(FakeEndpoint target) {
+            promotions++;
+        }
+
+        @Override
+        public void acknowledged(LogPosition commit) {
+            if (!candidates.isEmpty()) {
+                candidates.get(callers.nextInt(candidates.size())).tellOnceConfirmed(commit);
+            }
+        }
     }
 
     /** The endpoints write how they see themselves. */
     private void listAll() {
-        ENDPOINTS.forEach(id -> list(endpoint(id)));
+        members.forEach(id -> list(endpoint(id)));
         pool.loop().schedule(LIST_PERIOD_MILLIS, this::listAll);
     }
 
     private void list(FakeEndpoint endpoint) {
         String id = endpoint.id();
-        pool.updateEndpoint(endpoint.entry("group", "dc-" + id, draining.contains(id), ++revision), VMS);
+        Endpoint entry = endpoint.entry("group", "dc-" + id, draining.contains(id), ++revision);
+        if (listDelayMillis == 0) {
+            pool.updateEndpoint(entry, VMS);
+        } else {
+            later(listDelayMillis, () -> pool.updateEndpoint(entry, VMS));
+        }
     }
 
     /** One process that may lead. Once it has ended, nothing that it began goes on. */
@@ -212,6 +275,14 @@
             tick();
         }
 
+        private void tellOnceConfirmed(LogPosition commit) {
+            ifRunning(() -> failover.commitGuard().confirm("group", Option.some(commit), kept -> {
+                if (kept) {
+                    replication.tell(commit);
+                }
+            }));
+        }
+
         private void received(String from, PeerMessage message) {
             failover.received(from, message);
         }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeEndpoint.java
@@ -43,6 +43,7 @@
     private boolean overloaded;
     private long workMillis;
     private long startMillis;
+    private long bornMillis = 1;
     private LogPosition position = new LogPosition(1, 10);
     private int openedConnections;
     private int connectAttempts;
@@ -83,7 +84,7 @@
                 dataCentre,
                 draining,
                 primary,
-                1,
+                bornMillis,
                 0,
                 new StorePosition(0, revision));
     }
@@ -202,6 +203,14 @@
         breakConnections();
     }
 
+    /** Ends the process and starts it again under its name, without its log and its pause. */
+    public void startAfresh() {
+        breakConnections();
+        bornMillis++;
+        paused = false;
+        position = LogPosition.ZERO;
+    }
+
     /** Accepts connections again. */
     public void restart() {
         running = true;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeReplication.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/FakeReplication.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -29,6 +31,12 @@
     private final Set<FakeEndpoint> deaf = new HashSet<>();
     private final Set<FakeEndpoint> crashed = new HashSet<>();
     private final List<String> lost = new ArrayList<>();
+    private final List<String> toldAndLost = new ArrayList<>();
+    private final Map<Long, Long> lastOffsetsOfTerms = new HashMap<>();
+    private LogPosition told = LogPosition.ZERO;
+    private final List<String> pendingTargets = new ArrayList<>();
+    private long lastToldMillis;
+    private long longestToldGapMillis;
     private final List<Order> orders = new ArrayList<>();
     private LogPosition acknowledged = new LogPosition(1, 0);
     private long lastAcknowledgedMillis;
@@ -40,13 +48,54 @@
     /** Starts to commit; the first endpoint leads. */
     public FakeReplication(ManualLoop loop, List<FakeEndpoint> endpoints, Random random, Listener listener) {
         this.loop = loop;
-        this.endpoints = List.copyOf(endpoints);
+        this.endpoints = new ArrayList<>(endpoints);
         this.random = random;
         this.listener = listener;
         this.lastAcknowledgedMillis = loop.nowMillis();
+        this.lastToldMillis = loop.nowMillis();
         commit();
     }
 
+    /** Adds a replica that starts now. */
+    public void join(FakeEndpoint endpoint) {
+        endpoints.add(endpoint);
+        copyLog(endpoint);
+    }
+
+    /**
+     * A replica ends and starts again at once, with nothing but what it can copy from the primary. Not one whose promotion
+     * was ordered, as that would be the loss of both servers which have a commit.
+     */
+    public void startAfresh(FakeEndpoint endpoint) {
+        if (!endpoint.isPrimary() && !crashed.contains(endpoint) && !pendingTargets.contains(endpoint.id())) {
+            endpoint.startAfresh();
+            copyLog(endpoint);
+        }
+    }
+
+    /** Callers were told of a commit. */
+    public void tell(LogPosition commit) {
+        if (commit.term() < term && commit.offset() > lastOffsetsOfTerms.getOrDefault(commit.term(), 0L)) {
+            toldAndLost.add(commit + " told in term " + term);
+        }
+        told = told.max(commit);
+        longestToldGapMillis = Math.max(longestToldGapMillis, loop.nowMillis() - lastToldMillis);
+        lastToldMillis = loop.nowMillis();
+    }
+
+    /** Returns the promotions of endpoints that lacked a commit of which callers were told. */
+    public List<String> toldAndLost() {
+        return List.copyOf(toldAndLost);
+    }
+
+    /** Returns the longest time without a commit of which callers were told since the last call, milliseconds. */
+    public long takeLongestToldGapMillis() {
+        long longest = Math.max(longestToldGapMillis, loop.nowMillis() - lastToldMillis);
+        longestToldGapMillis = 0;
+        lastToldMillis = loop.nowMillis();
+        return longest;
+    }
+
     /** Returns the promotions of endpoints that lacked an acknowledged commit. */
     public List<String> lost() {
         return List.copyOf(lost);
@@ -105,7 +154,11 @@
         if (outcome == Outcome.UNAVAILABLE) {
             loop.schedule(ANSWER_MILLIS, () -> done.accept(Answer.UNKNOWN));
         } else if (outcome == Outcome.LATE) {
-            loop.schedule(random.nextInt(MAX_LATE_MILLIS), () -> execute(order));
+            pendingTargets.add(order.endpoint());
+            loop.schedule(random.nextInt(MAX_LATE_MILLIS), () -> {
+                pendingTargets.remove(order.endpoint());
+                execute(order);
+            });
             loop.schedule(ANSWER_MILLIS, () -> done.accept(Answer.UNKNOWN));
         } else {
             loop.schedule(ANSWER_MILLIS, () -> done.accept(execute(order) ? Answer.ACCEPTED : Answer.REJECTED));
@@ -121,7 +174,11 @@
         }
         highestToken = order.token();
         if (!target.get().isPrimary()) {
-            loop.schedule(EFFECT_MILLIS, () -> lead(target.get()));
+            pendingTargets.add(order.endpoint());
+            loop.schedule(EFFECT_MILLIS, () -> {
+                pendingTargets.remove(order.endpoint());
+                lead(target.get());
+            });
         }
         return true;
     }
@@ -133,6 +190,11 @@
         if (target.position().compareTo(acknowledged) < 0) {
             lost.add(target.id() + " at " + target.position() + " lacks " + acknowledged);
         }
+        if (target.position().compareTo(told) < 0) {
+            toldAndLost.add(target.id() + " at " + target.position() + " lacks " + told);
+        }
+        lastOffsetsOfTerms.put(
+                term, target.position().term() == term ? target.position().offset() : 0L);
         term++;
         acknowledged = new LogPosition(term, target.position().offset());
         LogPosition start = acknowledged;
@@ -167,9 +229,16 @@
             acknowledged = written;
             longestGapMillis = Math.max(longestGapMillis, loop.nowMillis() - lastAcknowledgedMillis);
             lastAcknowledgedMillis = loop.nowMillis();
+            listener.acknowledged(written);
         }
     }
 
+    private void copyLog(FakeEndpoint endpoint) {
+        primary()
+                .filter(one -> !crashed.contains(one) && !deaf.contains(endpoint))
+                .forEach(source -> endpoint.setPosition(source.position()));
+    }
+
     /** What becomes of an order. */
     public enum Outcome {
         /** It is carried out and answered. */
@@ -180,10 +249,13 @@
         UNAVAILABLE
     }
 
-    /** Is told of promotions. */
+    /** Is told of promotions and of commits that the primary acknowledges. */
     @FunctionalInterface
     public interface Listener {
 
+        /** The primary has acknowledged a commit. */
+        default void acknowledged(LogPosition commit) {}
+
         /** An endpoint has become the primary. */
         void promoted(FakeEndpoint endpoint);
     }
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPool.java
@@ -20,6 +20,7 @@
 import org.hyssopswitch.pool.endpoint.LeaseSource;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.quota.AccountLimiter;
+import org.hyssopswitch.pool.session.CommitGuard;
 import org.hyssopswitch.pool.session.RequestLog;
 import org.hyssopswitch.pool.session.RequestMetrics;
 import org.hyssopswitch.pool.session.Sessions;
@@ -50,6 +51,7 @@
     private final AccountLimiter limiter;
     private final MetricRegistry metrics = new MetricRegistry();
     private final List<String> shortages = new ArrayList<>();
+    private CommitGuard commitGuard = CommitGuard.NONE;
     private Catalog catalog;
     private long suspendedMillis;
 
@@ -75,6 +77,7 @@
                 limiter,
                 new RequestLog(loop::nowMillis, () -> 0),
                 new RequestMetrics(metrics),
+                (group, commit, done) -> commitGuard.confirm(group, commit, done),
                 loop::nowMillis);
         configure(catalog(maxConnections, Map.of(KEY, account("small"), "other-key", account("large"))), vms);
         tick();
@@ -135,6 +138,11 @@
         return catalog;
     }
 
+    /** Sets what decides when callers are told of commits from now on. */
+    public void setCommitGuard(CommitGuard guard) {
+        commitGuard = guard;
+    }
+
     /** Applies a configuration. */
     public void configure(Catalog next, int vms) {
         catalog = next;
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/testing/TestPoolFleet.java
@@ -19,6 +19,7 @@
 import org.hyssopswitch.pool.lease.ConnectionLender;
 import org.hyssopswitch.pool.peer.PeerLinks;
 import org.hyssopswitch.pool.quota.AccountLimiter;
+import org.hyssopswitch.pool.session.CommitGuard;
 import org.hyssopswitch.pool.session.RequestLog;
 import org.hyssopswitch.pool.session.RequestMetrics;
 import org.hyssopswitch.pool.session.Sessions;
@@ -156,6 +157,7 @@
                     limiter,
                     new RequestLog(loop::nowMillis, () -> 0),
                     new RequestMetrics(new MetricRegistry()),
+                    CommitGuard.NONE,
                     loop::nowMillis);
         }
 
