A replica that started again unseen before it was paused is resumed

A replica stays paused until the next promotion.

Cause: the pause names the process that the lists showed. One that had started again under its name, which the lists did not show yet, took the PAUSE as the earlier process; when RESUME was due, the lists showed the new one, the earlier one counted as ended, and the new one was never resumed.

Change: RESUME also goes to the later processes of the members.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hyssopswitch.core.failover.CommitHolder;
@@ -290,8 +291,9 @@
         if (closed || !context.isLeader()) {
             return;
         }
-        send(new EndpointCommand.Resume(), List.copyOf(members), result -> {
-            boolean complete = members.stream()
+        List<CommitHolder> receivers = maybePaused();
+        send(new EndpointCommand.Resume(), receivers, result -> {
+            boolean complete = receivers.stream()
                     .allMatch(member -> result.statuses().containsKey(member)
                             || result.ended().contains(member));
             if (!complete) {
@@ -303,6 +305,13 @@
         });
     }
 
+    /** Returns the members and their later processes: one that had started again unseen was paused as the earlier one. */
+    private List<CommitHolder> maybePaused() {
+        Stream<CommitHolder> later = CommitHolderSurvey.listed(group).stream()
+                .filter(listed -> members.stream().anyMatch(listed::replaces));
+        return Stream.concat(members.stream(), later).distinct().toList();
+    }
+
     private void send(EndpointCommand command, List<CommitHolder> receivers, Consumer<CommitHolderSurvey.Result> done) {
         if (receivers.isEmpty()) {
             done.accept(new CommitHolderSurvey.Result(Map.of(), Set.of()));
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.hyssopswitch.pool.testing.FakeEndpoint;
 import org.hyssopswitch.pool.testing.FakeReplication;
 import org.junit.jupiter.api.Test;
@@ -106,6 +107,21 @@
         fleet.assertNothingPaused();
     }
 
+    /** Guards against a replica that had started again unseen, is paused as its earlier process and stays paused. */
+    @Test
+    void resumesAReplicaThatHadStartedAgainUnseen() {
+        fleet.setListDelayMillis(LIST_DELAY_MILLIS);
+        fleet.advance(5_000);
+        List.of("e2", "e3").forEach(id -> fleet.replication().startAfresh(fleet.endpoint(id)));
+        fleet.advance(100);
+        fleet.replication().setOutcome(FakeReplication.Outcome.UNAVAILABLE);
+        fleet.reportCut(3);
+        fleet.advance(1_000);
+        assertEquals(1, fleet.pausedReplicas());
+        fleet.advance(25_000);
+        fleet.assertNothingPaused();
+    }
+
     /** Guards against commits that only a server has received which is not listed yet, and which the target lacks. */
     @Test
     void tellsCallersOfNoCommitThatOnlyAnUnlistedServerHas() {
