A target whose promotion may still be carried out is not given up when others are ahead of it

What callers could see: acknowledged commits lost.

Cause: the leader took a target that lacked what a paused replica has for one that had never been ordered, because a target is ordered only once it has all that the others have. A server that starts, or starts again, gets ahead of the target after the order. The leader then chose another target, while the platform could still carry out the first order.

Change: such a target stays the only one until no order for it can be carried out.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ReplicationFence.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/ReplicationFence.java
@@ -64,16 +64,6 @@
         return holders.choosePrimary(copies, fixed, target::equals).isPresent();
     }
 
-    /**
-     * Whether the target lacks what a paused member has received.
-     *
-     * @param paused statuses of the members that confirmed the pause
-     * @param targetReceived log position of the target
-     */
-    public boolean isBehind(Map<CommitHolder, ReplicationStatus> paused, LogPosition targetReceived) {
-        return fixedPositions(paused).values().stream().anyMatch(position -> position.compareTo(targetReceived) > 0);
-    }
-
     private Map<CommitHolder, LogPosition> fixedPositions(Map<CommitHolder, ReplicationStatus> paused) {
         Map<CommitHolder, LogPosition> fixed = new HashMap<>();
         paused.forEach((member, status) -> {
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/failover/ReplicationFenceTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/failover/ReplicationFenceTests.java
@@ -31,9 +31,7 @@
     void coversTheCommitsOnceTheTargetHasWhatThePausedReplicaHas() {
         Map<CommitHolder, ReplicationStatus> paused = Map.of(OTHER, status(false, 4, 89));
         assertFalse(covers(paused, 88));
-        assertTrue(fence.isBehind(paused, at(88)));
         assertTrue(covers(paused, 89));
-        assertFalse(fence.isBehind(paused, at(89)));
     }
 
     /** Guards against an answer that does not mean that the replica is paused. */
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSelector.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/CommitHolderSelector.java
@@ -151,10 +151,6 @@
                             planned.target().endpoint(),
                             received,
                             paused);
-                    if (received.exists(position -> planned.isBehind(paused, position))) {
-                        // It was not ordered, because a target is ordered only when it has all that the others have.
-                        fence.clearPendingTarget();
-                    }
                     done.accept(Option.none());
                 }
             });
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/GroupFence.java
@@ -141,11 +141,6 @@
         return Option.when(ordered && nowMillis() < orderEffectiveUntilMillis, target);
     }
 
-    /** The promotion of the pending target was not ordered. */
-    void clearPendingTarget() {
-        ordered = false;
-    }
-
     /**
      * Whether a promotion may start.
      *
--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionFenceTests.java
@@ -152,6 +152,30 @@
         fleet.assertCallersWereToldOfNothingLost();
     }
 
+    /** Guards against another target while the order for the first one, which was overtaken, may still be carried out. */
+    @Test
+    void keepsATargetThatARestartedReplicaHasOvertaken() {
+        fleet.replication().setOutcome(FakeReplication.Outcome.UNAVAILABLE);
+        fleet.reportCut(3);
+        fleet.advance(500);
+        FakeEndpoint target = fleet.endpoint(fleet.replication().orders().get(0).endpoint());
+        FakeEndpoint other = fleet.pausedEndpoint();
+        for (int i = 0; i < 60; i++) {
+            fleet.replication().startAfresh(other);
+            fleet.advance(100);
+            fleet.reportCut(3);
+            fleet.advance(i);
+            fleet.replication().setDeaf(target, true);
+            fleet.advance(700);
+            fleet.replication().setDeaf(target, false);
+        }
+        List<String> others = fleet.replication().orders().stream()
+                .map(PromotionAuthority.Order::endpoint)
+                .filter(endpoint -> !endpoint.equals(target.id()))
+                .toList();
+        assertEquals(List.of(), others);
+    }
+
     /** Guards against callers that are told of nothing while the leader does not answer. */
     @Test
     void tellsCallersOfCommitsThatAllReplicasHaveWhileThereIsNoLeader() {
