The replay of promotions has servers that start and start again, and lists of any age up to 2.5 s

Cause: no replay had servers come, or start again without their log and their pause, and the lists in it were never old. It looked at what the primary acknowledges, not at what callers are told.

Change: tellsCallersOfNoCommitThatIsLostWhileServersStart cuts the primary from its replicas, starts servers before, during and after that, and mixes this with the disturbances there were. Left out: a target that starts again between its order and its promotion, which is the loss of both servers that have a commit.

--- a/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionReplayTests.java
+++ b/hyssopswitch-pool/src/test/java/org/hyssopswitch/pool/failover/PromotionReplayTests.java
@@ -24,6 +24,11 @@
     private static final int MAX_STEP_MILLIS = 1_200;
     private static final int MAX_DISTURBANCE_MILLIS = 4_000;
 
+    /** Greatest age of the lists of servers, milliseconds. */
+    private static final int MAX_LIST_DELAY_MILLIS = 2_500;
+
+    private static final int MAX_SERVERS = 9;
+
     /** Time after the last disturbance in which the group must be as before, milliseconds. */
     private static final long RECOVERY_MILLIS = 30_000;
 
@@ -61,6 +66,72 @@
         assertTrue(gapMillis <= STEADY_GAP_MILLIS, () -> "seed " + seed + " gap " + gapMillis + " " + events);
     }
 
+    /**
+     * Guards against callers that are told of commits which only a server has received that the leader does not know: one
+     * that starts, or starts again and is not paused any more, before the lists show it.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void tellsCallersOfNoCommitThatIsLostWhileServersStart(long seed) {
+        SynchronousFleet fleet = new SynchronousFleet(seed);
+        Random random = new Random(seed);
+        List<String> events = new ArrayList<>();
+        fleet.setListDelayMillis(random.nextInt(MAX_LIST_DELAY_MILLIS));
+        for (int i = 0; i < STEPS; i++) {
+            events.add(random.nextInt(3) > 0 ? startServers(fleet, random) : disturb(fleet, random));
+            fleet.advance(random.nextInt(MAX_STEP_MILLIS));
+        }
+        fleet.advance(MAX_DISTURBANCE_MILLIS);
+        heal(fleet);
+        fleet.advance(RECOVERY_MILLIS);
+        fleet.replication().takeLongestToldGapMillis();
+        fleet.advance(2_000);
+        long gapMillis = fleet.replication().takeLongestToldGapMillis();
+        assertEquals(List.of(), fleet.replication().toldAndLost(), () -> "seed " + seed + " " + events);
+        assertEquals(0, fleet.pausedReplicas(), () -> "seed " + seed + " " + events);
+        assertTrue(gapMillis <= STEADY_GAP_MILLIS, () -> "seed " + seed + " gap " + gapMillis + " " + events);
+    }
+
+    /** Cuts the primary off from the replicas, and has servers start and start again before and after that. */
+    private static String startServers(SynchronousFleet fleet, Random random) {
+        int cutMillis = 1_000 + random.nextInt(MAX_DISTURBANCE_MILLIS);
+        int kind = random.nextInt(4);
+        switch (kind) {
+            case 0 -> {
+                fleet.cutPrimaryFromReplicas(cutMillis);
+                fleet.reportCutFor(3, cutMillis);
+                fleet.later(random.nextInt(cutMillis), () -> startAfreshAny(fleet, random));
+            }
+            case 1 -> {
+                fleet.cutPrimaryFromReplicas(cutMillis);
+                fleet.reportCutFor(3, cutMillis);
+                addReplica(fleet);
+                fleet.later(random.nextInt(cutMillis), () -> addReplica(fleet));
+            }
+            case 2 -> {
+                addReplica(fleet);
+                fleet.later(random.nextInt(MAX_DISTURBANCE_MILLIS), () -> fleet.cutPrimaryFromReplicas(cutMillis));
+                fleet.reportCutFor(3, cutMillis);
+            }
+            default -> startAfreshAny(fleet, random);
+        }
+        return "s" + kind;
+    }
+
+    private static void addReplica(SynchronousFleet fleet) {
+        if (fleet.members().size() < MAX_SERVERS) {
+            fleet.addReplica();
+        }
+    }
+
+    /** One replica starts again, which a cut does not keep from receiving. */
+    private static void startAfreshAny(SynchronousFleet fleet, Random random) {
+        FakeEndpoint endpoint = fleet.endpoint(
+                fleet.members().get(random.nextInt(fleet.members().size())));
+        fleet.replication().setDeaf(endpoint, false);
+        fleet.replication().startAfresh(endpoint);
+    }
+
     /** Begins one disturbance, and ends it after a while. */
     private static String disturb(SynchronousFleet fleet, Random random) {
         FakeEndpoint endpoint = fleet.endpoint("e" + (1 + random.nextInt(3)));
