Commits of the new term are confirmed as soon as the promoted server leads

What callers would have seen: writes unanswered for some 600 ms after a promotion.

Cause: until the leader had ended the pause, only the promoted server counted, and a primary confirms nothing.

Change: once the target reports that it leads, the replicas count again, for the new term only.

--- a/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitEvidence.java
+++ b/hyssopswitch-core/src/main/java/org/hyssopswitch/core/failover/CommitEvidence.java
@@ -11,8 +11,8 @@
  * Decides, by the statuses of the servers of a group with synchronous replication, which commits outlast every promotion.
  *
  * <p>These are the commits that a recorded replica has received, which counts when a server is chosen for promotion. From
- * the start of a pause until no promotion of its target can take effect any more, only what the target has received counts:
- * a paused replica that starts again receives again, and so does a server that is not recorded yet.
+ * the start of a pause until its target leads, or until no promotion of it can take effect any more, only what the target has
+ * received counts: a paused replica that starts again receives again, and so does a server that is not recorded yet.
  */
 public final class CommitEvidence {
 
@@ -20,6 +20,7 @@
     private List<CommitHolder> holders = List.of();
     private String primary = "";
     private Optional<String> target = Optional.empty();
+    private boolean targetLeads;
     private long latestTerm;
     private ReplicatedCommits confirmed = ReplicatedCommits.NONE;
 
@@ -31,10 +32,11 @@
      * @param promoting endpoint that may be promoted while others may be paused
      */
     public void update(List<CommitHolder> recorded, String knownPrimary, Optional<String> promoting) {
-        if (target.isPresent() && promoting.isEmpty()) {
+        if (target.isPresent() && promoting.isEmpty() && !targetLeads) {
             // The promotion may have taken effect, so that the term has to be learnt again.
             answered.clear();
         }
+        targetLeads &= target.equals(promoting);
         holders = List.copyOf(recorded);
         primary = Objects.requireNonNull(knownPrimary, "knownPrimary");
         target = Objects.requireNonNull(promoting, "promoting");
@@ -42,7 +44,7 @@
 
     /** Returns the servers to query: those that may confirm commits, or all of them until the term is known. */
     public List<CommitHolder> required() {
-        return isTermKnown() ? replicas().stream().filter(this::mayConfirm).toList() : holders;
+        return isTermKnown() ? holders.stream().filter(this::isCounted).toList() : holders;
     }
 
     /** Returns the recorded servers without the primary. */
@@ -62,6 +64,7 @@
     public boolean add(CommitHolder server, ReplicationStatus status) {
         answered.add(server);
         latestTerm = Math.max(latestTerm, status.latestLedTerm());
+        targetLeads |= status.primary() && target.equals(Optional.of(server.endpoint()));
         LogPosition received = ReplicatedCommits.receivedByAll(List.of(status)).last();
         // A former primary may report commits of its term that the present one lacks.
         boolean counts = isTermKnown() && received.term() >= latestTerm && mayConfirm(server);
@@ -78,8 +81,13 @@
     }
 
     private boolean mayConfirm(CommitHolder server) {
-        return replicas().contains(server)
-                && target.map(server.endpoint()::equals).orElse(true);
+        return holders.contains(server) && isCounted(server);
+    }
+
+    private boolean isCounted(CommitHolder server) {
+        return (target.isEmpty() || targetLeads)
+                ? !server.endpoint().equals(primary)
+                : server.endpoint().equals(target.get());
     }
 
     /** Whether most servers have told their terms, so that the latest one is among them. */
--- a/hyssopswitch-core/src/test/java/org/hyssopswitch/core/failover/CommitEvidenceTests.java
+++ b/hyssopswitch-core/src/test/java/org/hyssopswitch/core/failover/CommitEvidenceTests.java
@@ -60,6 +60,19 @@
         assertTrue(evidence.add(SECOND, replica(4, 89)));
     }
 
+    /** Guards against writes that wait until the leader has ended the pause after a promotion. */
+    @Test
+    void confirmsWhatReplicasHaveReceivedOnceTheTargetLeads() {
+        evidence.update(HOLDERS, "p", Optional.of("a"));
+        assertFalse(evidence.add(FIRST, new ReplicationStatus(true, 4, new LogPosition(4, 89))));
+        evidence.update(HOLDERS, "a", Optional.of("a"));
+        assertEquals(List.of(PRIMARY, SECOND), evidence.required());
+        assertFalse(evidence.add(PRIMARY, replica(3, 95)));
+        assertTrue(evidence.add(SECOND, replica(4, 90)));
+        evidence.update(HOLDERS, "a", Optional.empty());
+        assertTrue(evidence.add(PRIMARY, replica(4, 91)));
+    }
+
     private static ReplicationStatus replica(long term, long offset) {
         return new ReplicationStatus(false, term, new LogPosition(term, offset));
     }
