The connection of a commit is free again before its answer is held or sent

Cause: since a commit's connection was released after its caller had been answered, in groups of any kind, so that the caller's next statement could not have it.

Change: it is released first, as before. Two forwarding methods of PrimaryFailover are gone.

--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/failover/PrimaryFailover.java
@@ -84,8 +84,8 @@
         this.election = new PromotionLeaderElection(self, tables.leadership(), eras, loop, random, peers);
         this.commitHolders = new CommitHolderTracker(tables.commitHolders(), loop);
         this.fences = new PromotionFences(tables.fences(), groups, election, commitHolders, loop);
-        this.commitConfirmer = new LeaderCommitConfirmer(election, commitHolders, fences, loop, this::sendConfirmation);
-        this.commitConfirmations = new CommitConfirmations(groups, election, loop, this::sendConfirmationRequest);
+        this.commitConfirmer = new LeaderCommitConfirmer(election, commitHolders, fences, loop, this::sendOrHandle);
+        this.commitConfirmations = new CommitConfirmations(groups, election, loop, this::sendOrHandle);
         this.peers = peers;
         this.lastReportMillis = loop.nowMillis();
     }
@@ -246,14 +246,6 @@
                 : new MostAdvancedReplicaSelector(group, loop);
     }
 
-    private void sendConfirmationRequest(String leader, CommitConfirmationRequest request) {
-        sendOrHandle(leader, request);
-    }
-
-    private void sendConfirmation(String vm, CommitConfirmation confirmation) {
-        sendOrHandle(vm, confirmation);
-    }
-
     private void sendOrHandle(String vm, PeerMessage message) {
         if (vm.equals(self)) {
             received(self, message);
--- a/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
+++ b/hyssopswitch-pool/src/main/java/org/hyssopswitch/pool/session/CallerTransaction.java
@@ -178,6 +178,7 @@
     private void awaitConfirmation(PooledConnection pooled, Reply reply) {
         awaitingConfirmation = true;
         connection = Option.none();
+        pooled.release();
         session().confirmCommit(route(), reply.position(), kept -> {
             if (ended) {
                 return;
@@ -190,7 +191,6 @@
                         "endpoint " + pooled.endpointId() + " was replaced before the commit was confirmed");
             }
         });
-        pooled.release();
     }
 
     private void statementCompleted(Reply reply) {
